--- /dev/null
+++ b/cmd/coursepass/main.go
@@ -0,0 +1,199 @@
+// Command coursepass is a router fleet for split prefill and decode: the role is
+// a subcommand.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/phuslu/log"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/core"
+	"coursepass/internal/engine"
+	"coursepass/internal/fleet"
+	"coursepass/internal/load"
+	"coursepass/internal/mishap"
+	"coursepass/internal/operator"
+	"coursepass/internal/router"
+	"coursepass/internal/schedule"
+	"coursepass/internal/setting"
+)
+
+type commands struct {
+	Core     coreCommand       `command:"core" description:"run a control daemon"`
+	Router   routerCommand     `command:"router" description:"run a data-plane daemon"`
+	Engine   engineCommand     `command:"engine" description:"run a stand-in engine"`
+	Fleet    fleetCommand      `command:"fleet" description:"run a whole fleet on loopback in one process"`
+	Load     loadCommand       `command:"load" description:"generate load, measure it and check every answer"`
+	Apply    operator.Apply    `command:"apply" description:"put a whole configuration in force"`
+	Change   operator.Small    `command:"change" description:"change parameters of the configuration in force"`
+	Evacuate operator.Evacuate `command:"evacuate" description:"take new work out of a hall, or let it back"`
+	List     operator.List     `command:"list" description:"list a service's engines"`
+	Leave    operator.Leave    `command:"leave" description:"mark an engine as leaving"`
+	Show     operator.Show     `command:"show" description:"show the configuration in force, or an operation's outcome"`
+	Status   operator.Status   `command:"status" description:"show leaders, rounds and grants"`
+}
+
+type coreCommand struct{ core.Settings }
+type routerCommand struct{ router.Settings }
+type engineCommand struct{ engine.Settings }
+type fleetCommand struct{ fleet.Settings }
+type loadCommand struct{ load.Settings }
+
+type runner interface{ Run() error }
+
+func listen(place setting.Place, inner setting.Inner) (core.Listeners, error) {
+	listeners := core.Listeners{}
+	var failure error
+	if listeners.Inner, failure = circuit.Listen(inner.Inner); failure != nil {
+		return listeners, failure
+	}
+	listeners.Public, failure = circuit.Listen(place.Public)
+	return listeners, failure
+}
+
+func untilStopped() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Run runs a core.
+func (command *coreCommand) Run() error {
+	if failure := command.Check(); failure != nil {
+		return failure
+	}
+	level(command.Level)
+	each, failure := core.New(command.Settings, setting.Incarnation())
+	if failure != nil {
+		return failure
+	}
+	listeners, failure := listen(command.Place, command.Inner)
+	if failure != nil {
+		return failure
+	}
+	running, stop := untilStopped()
+	defer stop()
+	return each.Run(running, listeners)
+}
+
+// Run runs a router.
+func (command *routerCommand) Run() error {
+	level(command.Level)
+	each, failure := router.New(command.Settings, setting.Incarnation())
+	if failure != nil {
+		return failure
+	}
+	listeners, failure := listen(command.Place, command.Inner)
+	if failure != nil {
+		return failure
+	}
+	running, stop := untilStopped()
+	defer stop()
+	return each.Run(running, listeners)
+}
+
+// Run runs a stand-in engine.
+func (command *engineCommand) Run() error {
+	level(command.Level)
+	each, failure := engine.New(command.Settings, engine.NewObserver(schedule.Microseconds(command.Lease)*schedule.Millisecond))
+	if failure != nil {
+		return failure
+	}
+	listener, failure := net.Listen("tcp", command.Address)
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.AddressTaken, command.Address)
+	}
+	running, stop := untilStopped()
+	defer stop()
+	return each.Run(running, listener)
+}
+
+// Run runs a fleet.
+func (command *fleetCommand) Run() error {
+	whole, failure := fleet.New(command.Settings)
+	if failure != nil {
+		return failure
+	}
+	running, stop := untilStopped()
+	defer stop()
+	if command.Seconds > 0 {
+		bounded, cancel := context.WithTimeout(running, time.Duration(command.Seconds)*time.Second)
+		defer cancel()
+		running = bounded
+	}
+	return whole.Run(running)
+}
+
+// Run runs a load.
+func (command *loadCommand) Run() error {
+	run, failure := load.New(command.Settings)
+	if failure != nil {
+		return failure
+	}
+	running, stop := untilStopped()
+	defer stop()
+	figures, failure := run.Drive(running)
+	if failure != nil {
+		return failure
+	}
+	figures.Print(os.Stdout, command.JSON)
+	if count := len(figures.Violations); count > 0 {
+		return mishap.New(mishap.RunFailed, "%d violations", count)
+	}
+	return nil
+}
+
+func level(name string) {
+	log.DefaultLogger = log.Logger{Level: log.ParseLevel(name), TimeFormat: "2006-01-02T15:04:05.000000Z07:00", Writer: &log.IOWriter{Writer: os.Stderr}}
+}
+
+func settingsOf(command any) string {
+	switch each := command.(type) {
+	case *coreCommand:
+		return each.Place.Settings
+	case *routerCommand:
+		return each.Place.Settings
+	case *engineCommand:
+		return each.Settings.Settings
+	}
+	return ""
+}
+
+func main() {
+	all := &commands{}
+	parser := flags.NewParser(all, flags.HelpFlag|flags.PassDoubleDash)
+	var chosen any
+	parser.CommandHandler = func(command flags.Commander, _ []string) error { return nil }
+	_, failure := parser.Parse()
+	var said *flags.Error
+	if errors.As(failure, &said) && said.Type == flags.ErrHelp {
+		fmt.Println(said.Message)
+		return
+	}
+	if failure != nil {
+		fail(mishap.Wrap(failure, mishap.SettingBad, "flags"))
+	}
+	byName := map[string]any{
+		"core": &all.Core, "router": &all.Router, "engine": &all.Engine, "fleet": &all.Fleet, "load": &all.Load, "apply": &all.Apply,
+		"change": &all.Change, "evacuate": &all.Evacuate, "list": &all.List, "leave": &all.Leave, "show": &all.Show, "status": &all.Status,
+	}
+	chosen = byName[parser.Active.Name]
+	if failure := setting.ReadFile(parser, settingsOf(chosen), os.Args[1:]); failure != nil {
+		fail(failure)
+	}
+	if failure := chosen.(runner).Run(); failure != nil {
+		fail(failure)
+	}
+}
+
+func fail(failure error) {
+	fmt.Fprintln(os.Stderr, mishap.Text(failure))
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/catalogue/state.go
@@ -0,0 +1,130 @@
+// Package catalogue owns what is known of engines: the durable list with its
+// leaving marks, and the soft state that engines tell again at any time.
+package catalogue
+
+import (
+	"bytes"
+	"encoding/gob"
+	"maps"
+
+	"coursepass/internal/contract"
+	"coursepass/internal/mishap"
+)
+
+// Engine is one enrolled engine. An incarnation is one life of its process.
+type Engine struct {
+	Name        string `json:"name"`
+	Service     string `json:"service"`
+	Hall        string `json:"hall"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// Kind says what an operation does.
+type Kind string
+
+// The kinds of operations on the engine list.
+const (
+	Enrol Kind = "enrol"
+	Leave Kind = "leave"
+	Sign  Kind = "sign"
+)
+
+// Operation is one entry of a service part's log.
+type Operation struct {
+	Kind     Kind
+	Engine   Engine
+	Contract contract.Contract
+}
+
+// View is all that a service part keeps.
+type View struct {
+	Sequence  uint64
+	Engines   map[string]Engine
+	Contracts map[string]contract.Contract
+}
+
+// State is what the log of a service part builds.
+type State struct{ View }
+
+// NewState is an empty list.
+func NewState() *State {
+	return &State{View{Engines: map[string]Engine{}, Contracts: map[string]contract.Contract{}}}
+}
+
+// Result is an operation's result.
+type Result struct {
+	Code     mishap.Code
+	Sequence uint64
+}
+
+// Apply takes one committed operation. Maps are replaced, never changed, so that
+// copies of the view stay as they are.
+func (state *State) Apply(data []byte) []byte {
+	var operation Operation
+	if gob.NewDecoder(bytes.NewReader(data)).Decode(&operation) != nil {
+		return encode(Result{Code: mishap.Garbage, Sequence: state.Sequence})
+	}
+	result := Result{}
+	switch operation.Kind {
+	case Enrol:
+		state.Engines = maps.Clone(state.Engines)
+		state.Engines[operation.Engine.Name] = operation.Engine
+	case Leave:
+		engine, known := state.Engines[operation.Engine.Name]
+		if !known {
+			return encode(Result{Code: mishap.NoEngine, Sequence: state.Sequence})
+		}
+		engine.Leaving = true
+		state.Engines = maps.Clone(state.Engines)
+		state.Engines[engine.Name] = engine
+	case Sign:
+		if operation.Contract.Round < state.Contracts[operation.Contract.Service].Round {
+			return encode(Result{Code: mishap.RoundStale, Sequence: state.Sequence})
+		}
+		state.Contracts = maps.Clone(state.Contracts)
+		state.Contracts[operation.Contract.Service] = operation.Contract
+	}
+	state.Sequence++
+	result.Sequence = state.Sequence
+	return encode(result)
+}
+
+// Number is the state's own sequence.
+func (state *State) Number() uint64 { return state.Sequence }
+
+// Snapshot is the whole state.
+func (state *State) Snapshot() []byte { return encode(state.View) }
+
+// Restore takes the whole state.
+func (state *State) Restore(snapshot []byte) {
+	if view, read := Read(snapshot); read {
+		state.View = view
+	}
+}
+
+// Read decodes a snapshot.
+func Read(snapshot []byte) (View, bool) {
+	view := NewState().View
+	failure := gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&view)
+	return view, failure == nil
+}
+
+// Encode writes an operation for the log.
+func (operation Operation) Encode() []byte { return encode(operation) }
+
+// ReadResult decodes an operation's result.
+func ReadResult(data []byte) (Result, error) {
+	var result Result
+	failure := gob.NewDecoder(bytes.NewReader(data)).Decode(&result)
+	return result, mishap.Wrap(failure, mishap.Garbage, "result")
+}
+
+func encode(value any) []byte {
+	var buffer bytes.Buffer
+	if failure := gob.NewEncoder(&buffer).Encode(value); failure != nil {
+		panic(failure)
+	}
+	return buffer.Bytes()
+}
--- /dev/null
+++ b/internal/catalogue/table.go
@@ -0,0 +1,229 @@
+package catalogue
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"coursepass/internal/contract"
+	"coursepass/internal/schedule"
+)
+
+const (
+	strangersFade = 500 * schedule.Millisecond
+	warmSpan      = 5 * schedule.Second
+	warmRuns      = 8
+	missCost      = 0.5
+	farCost       = 0.2
+	defaultSlots  = 4
+)
+
+type seat struct {
+	Engine
+	report   Report
+	part     string
+	own      int
+	others   int
+	sampled  schedule.Microseconds
+	seen     schedule.Microseconds
+	done     int
+	shunned  schedule.Microseconds
+	prefixes map[string]bool
+}
+
+// Table is a router's picture of one service's engines: the list and contract in
+// force, what engines told, and what it saw itself.
+type Table struct {
+	lock     sync.Mutex
+	service  string
+	contract contract.Contract
+	seats    map[string]*seat
+	gone     []string
+}
+
+// NewTable is an empty picture.
+func NewTable(service string) *Table { return &Table{service: service, seats: map[string]*seat{}} }
+
+// Update takes the list and contract in force.
+func (table *Table) Update(now schedule.Microseconds, view View) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.contract = view.Contracts[table.service]
+	for name, engine := range view.Engines {
+		if engine.Service != table.service {
+			continue
+		}
+		held, known := table.seats[name]
+		if !known || held.Incarnation != engine.Incarnation {
+			held = &seat{seen: now, prefixes: map[string]bool{}}
+			table.seats[name] = held
+		}
+		held.Engine = engine
+	}
+	for name, held := range table.seats {
+		if _, listed := view.Engines[name]; !listed {
+			delete(table.seats, name)
+			continue
+		}
+		held.part = table.contract.Parts[name]
+	}
+}
+
+// Evacuate takes the halls that get no new work.
+func (table *Table) Evacuate(gone []string) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.gone = gone
+}
+
+// Hear takes an engine's report as the leader passed it on.
+func (table *Table) Hear(now schedule.Microseconds, report Report) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	held, known := table.seats[report.Name]
+	if !known || held.Incarnation != report.Incarnation {
+		return
+	}
+	held.report = report
+	held.prefixes = map[string]bool{}
+	for _, prefix := range report.Prefixes {
+		held.prefixes[prefix] = true
+	}
+	held.others, held.sampled = max(report.Running-held.own, 0), now
+}
+
+// Owner is the inner address of the leader that signed the contract in force.
+func (table *Table) Owner() string {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return table.contract.Owner
+}
+
+// Want is what a request needs of an engine.
+type Want struct {
+	Part     string
+	Prefix   string
+	Hall     string
+	Versions []string
+	Reader   string
+	Avoid    map[string]bool
+}
+
+// Pick is a chosen engine; its Done must be called once.
+type Pick struct {
+	Engine
+	Version string
+	Done    func(Experience)
+}
+
+// Experience is what came of a pick.
+type Experience struct {
+	Now     schedule.Microseconds
+	Ended   bool
+	Full    bool
+	Mishap  bool
+	Prefix  string
+	Running int
+}
+
+func (held *seat) slots() int {
+	if held.report.Capacity > 0 {
+		return held.report.Capacity
+	}
+	return defaultSlots
+}
+
+// room is how many runs an engine may have from here: a cold one starts with one
+// and earns more by time and by work done.
+func (held *seat) room(now schedule.Microseconds) int {
+	slots := held.slots()
+	if age := now - held.seen; age < warmSpan && held.done < warmRuns && held.report.Age < warmSpan {
+		return min(slots, 1+held.done/2+int(age/schedule.Second))
+	}
+	return slots
+}
+
+func (held *seat) busy(now schedule.Microseconds) float64 {
+	fade := 1 - float64(now-held.sampled)/float64(strangersFade)
+	return float64(held.own) + float64(held.others)*max(fade, 0)
+}
+
+// Choose picks the engine that promises the earliest start: the prefix held, then
+// load and hall. It says whether any engine is fit at all, if none has room.
+func (table *Table) Choose(now schedule.Microseconds, want Want) (*Pick, bool) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	var best *seat
+	lowest, fit := 0.0, false
+	for _, held := range table.seats {
+		if !table.fits(now, held, want) {
+			continue
+		}
+		fit = true
+		busy := held.busy(now)
+		if busy >= float64(held.room(now)) {
+			continue
+		}
+		cost := busy/float64(held.slots()) + 0.02*rand.Float64()
+		if want.Part == contract.Prefill && want.Prefix != "" && !held.prefixes[want.Prefix] {
+			cost += missCost
+		}
+		if held.Hall != want.Hall {
+			cost += farCost
+		}
+		if best == nil || cost < lowest {
+			best, lowest = held, cost
+		}
+	}
+	if best == nil {
+		return nil, fit
+	}
+	best.own++
+	return &Pick{Engine: best.Engine, Version: best.report.Version, Done: table.done(best)}, true
+}
+
+func (table *Table) fits(now schedule.Microseconds, held *seat, want Want) bool {
+	if held.part == "" || held.part != contract.Both && held.part != want.Part {
+		return false
+	}
+	if held.Leaving || held.report.Draining || held.shunned > now || want.Avoid[held.Name] || slices.Contains(table.gone, held.Hall) {
+		return false
+	}
+	if !slices.Contains(want.Versions, held.report.Version) {
+		return false
+	}
+	return want.Reader == "" || table.paired(want.Reader, held.Name)
+}
+
+func (table *Table) paired(reader, writer string) bool {
+	partners := table.contract.Partners(reader)
+	for _, pair := range partners {
+		if pair.Decode == writer {
+			return true
+		}
+	}
+	return len(partners) == 0
+}
+
+func (table *Table) done(held *seat) func(Experience) {
+	return func(experience Experience) {
+		table.lock.Lock()
+		defer table.lock.Unlock()
+		held.own--
+		if experience.Ended {
+			held.done++
+		}
+		if experience.Prefix != "" {
+			held.prefixes[experience.Prefix] = true
+		}
+		if experience.Running > 0 {
+			held.others, held.sampled = max(experience.Running-held.own, 0), experience.Now
+		}
+		if experience.Full {
+			held.others, held.sampled = max(held.slots()-held.own, held.others), experience.Now
+		}
+		if experience.Mishap {
+			held.shunned = experience.Now + schedule.Second
+		}
+	}
+}
--- /dev/null
+++ b/internal/circuit/inner.go
@@ -0,0 +1,133 @@
+package circuit
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"coursepass/internal/hall"
+	"coursepass/internal/mishap"
+	"coursepass/internal/schedule"
+)
+
+const (
+	fleetHeader = "Coursepass-Fleet"
+	largest     = 32 << 20
+)
+
+// Inner is a daemon's side of all calls to its own kind.
+type Inner struct {
+	Fleet   string
+	Meter   *hall.Meter
+	Foreign atomic.Int64
+	Garbage atomic.Int64
+	client  *http.Client
+	calls   sync.Map
+	routes  *http.ServeMux
+}
+
+// NewInner makes the inner side of a daemon of this fleet.
+func NewInner(fleet string, meter *hall.Meter) *Inner {
+	return &Inner{
+		Fleet: fleet, Meter: meter, routes: http.NewServeMux(),
+		client: &http.Client{Transport: NewTransport(Options{Meter: meter})},
+	}
+}
+
+// ServeHTTP drops what is not of this fleet and counts what can't be read.
+func (inner *Inner) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Header.Get(fleetHeader) != inner.Fleet {
+		inner.Foreign.Add(1)
+		http.Error(writer, mishap.ForeignFleet.String(), http.StatusForbidden)
+		return
+	}
+	watched := &statusWriter{ResponseWriter: writer}
+	inner.routes.ServeHTTP(watched, request)
+	switch watched.status {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusUnsupportedMediaType, http.StatusMethodNotAllowed, http.StatusInternalServerError:
+		inner.Garbage.Add(1)
+	}
+}
+
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader notes the status that is answered.
+func (writer *statusWriter) WriteHeader(status int) {
+	writer.status = status
+	writer.ResponseWriter.WriteHeader(status)
+}
+
+// Answer serves a procedure.
+func Answer[Question, Reply any](inner *Inner, procedure string, answer func(context.Context, *Question) (*Reply, error)) {
+	handler := connect.NewUnaryHandler(procedure, func(context context.Context, request *connect.Request[Question]) (*connect.Response[Reply], error) {
+		reply, failure := answer(context, request.Msg)
+		if failure != nil {
+			return nil, connect.NewError(connect.CodeAborted, failure)
+		}
+		return connect.NewResponse(reply), nil
+	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(largest),
+		connect.WithRecover(func(context.Context, connect.Spec, http.Header, any) error {
+			return connect.NewError(connect.CodeInternal, mishap.New(mishap.Garbage, "%s", procedure))
+		}))
+	inner.routes.Handle(procedure, handler)
+}
+
+// Call asks a procedure at an inner address within the budget.
+func Call[Question, Reply any](parent context.Context, inner *Inner, address, procedure string, budget schedule.Microseconds, question *Question) (*Reply, error) {
+	bounded, cancel := context.WithTimeout(parent, budget.Duration())
+	defer cancel()
+	key := address + procedure
+	found, known := inner.calls.Load(key)
+	if !known {
+		found, _ = inner.calls.LoadOrStore(key, connect.NewClient[Question, Reply](inner.client, "http://"+key,
+			connect.WithCodec(codec{}), connect.WithReadMaxBytes(largest)))
+	}
+	request := connect.NewRequest(question)
+	request.Header().Set(fleetHeader, inner.Fleet)
+	inner.Meter.Calls.Add(1)
+	reply, failure := found.(*connect.Client[Question, Reply]).CallUnary(bounded, request)
+	if failure != nil {
+		return nil, mishap.Wrap(failure, mishap.CircuitLost, key)
+	}
+	return reply.Msg, nil
+}
+
+// Serve listens on an address until the context ends, and then lets open
+// requests finish within the grace.
+func Serve(context context.Context, listener net.Listener, handler http.Handler, grace schedule.Microseconds) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 64 << 10}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case failure := <-ended:
+		return mishap.Wrap(failure, mishap.StartFailed, "serve "+listener.Addr().String())
+	case <-context.Done():
+		return stop(server, grace)
+	}
+}
+
+func stop(server *http.Server, grace schedule.Microseconds) error {
+	bounded, cancel := context.WithTimeout(context.Background(), grace.Duration())
+	defer cancel()
+	if server.Shutdown(bounded) != nil {
+		return server.Close()
+	}
+	return nil
+}
+
+// Listen opens a listening address that must be an IP number.
+func Listen(address string) (net.Listener, error) {
+	if failure := CheckAddress(address); failure != nil {
+		return nil, failure
+	}
+	listener, failure := net.Listen("tcp", address)
+	return listener, mishap.Wrap(failure, mishap.AddressTaken, address)
+}
--- /dev/null
+++ b/internal/configuration/plan.go
@@ -0,0 +1,204 @@
+// Package configuration owns what operators put in force: the catalogue of
+// capabilities, tenant templates and their parameters, written in CUE.
+package configuration
+
+import (
+	_ "embed"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/cuecontext"
+	cueerrors "cuelang.org/go/cue/errors"
+
+	"coursepass/internal/mishap"
+	"coursepass/internal/schedule"
+)
+
+//go:embed schema.cue
+var schema string
+
+// Largest is the largest document that is read, in bytes.
+const Largest = 8 << 20
+
+// Prefix is a shared prefix that engines may hold.
+type Prefix struct {
+	Tokens int `json:"tokens"`
+}
+
+// Service is one model service.
+type Service struct {
+	Versions []string          `json:"versions"`
+	Prefixes map[string]Prefix `json:"prefixes"`
+	Queue    int               `json:"queue"`
+}
+
+// Template is what a tenant asks of one kind of request.
+type Template struct {
+	Service             string `json:"service"`
+	Prefix              string `json:"prefix"`
+	StartMilliseconds   int64  `json:"startMilliseconds"`
+	AbandonMilliseconds int64  `json:"abandonMilliseconds"`
+	Priority            int    `json:"priority"`
+	Repeat              bool   `json:"repeat"`
+	MostTokens          int    `json:"mostTokens"`
+}
+
+// OneShot tells whether a request must never be run a second time.
+func (template Template) OneShot() bool { return !template.Repeat }
+
+// Start is the budget until the first token.
+func (template Template) Start() schedule.Microseconds {
+	return schedule.Microseconds(template.StartMilliseconds) * schedule.Millisecond
+}
+
+// Abandon is the budget of the whole answer.
+func (template Template) Abandon() schedule.Microseconds {
+	return schedule.Microseconds(template.AbandonMilliseconds) * schedule.Millisecond
+}
+
+// Tenant is one of those who call.
+type Tenant struct {
+	RepeatPercent   *int                `json:"repeatPercent"`
+	RepeatAllowance *int                `json:"repeatAllowance"`
+	Kinds           map[string]Template `json:"kinds"`
+}
+
+// Share is the tenant's percentage and allowance of repeats. A zero is lost on its
+// way through gob, and comes back as none.
+func (tenant Tenant) Share() (percent, allowance int) {
+	if tenant.RepeatPercent != nil {
+		percent = *tenant.RepeatPercent
+	}
+	if tenant.RepeatAllowance != nil {
+		allowance = *tenant.RepeatAllowance
+	}
+	return percent, allowance
+}
+
+// Plan is a configuration after all templates are expanded.
+type Plan struct {
+	Halls    []string           `json:"halls"`
+	Services map[string]Service `json:"services"`
+	Tenants  map[string]Tenant  `json:"tenants"`
+}
+
+// Template finds the template of a tenant's kind of request.
+func (plan *Plan) Template(tenant, kind string) (Template, error) {
+	found, known := plan.Tenants[tenant]
+	if !known {
+		return Template{}, mishap.New(mishap.UnknownTenant, "tenant %q", tenant)
+	}
+	template, known := found.Kinds[kind]
+	if !known {
+		return Template{}, mishap.New(mishap.UnknownKind, "tenant %q, kind %q", tenant, kind)
+	}
+	return template, nil
+}
+
+// Expand reads a document, fills in the changed parameters and checks all of it.
+// Changes map a path below parameters to a value in JSON.
+func Expand(document string, changes map[string]string) (Plan, error) {
+	if len(document) > Largest {
+		return Plan{}, mishap.New(mishap.ConfigurationInvalid, "the document has more than %d bytes", Largest)
+	}
+	context := cuecontext.New()
+	shapes := context.CompileString(schema, cue.Filename("schema.cue"))
+	value := context.CompileString(document, cue.Filename("configuration.cue"), cue.Scope(shapes))
+	if failure := value.Err(); failure != nil {
+		return Plan{}, declined(failure)
+	}
+	for path, text := range changes {
+		var parameter any
+		if failure := json.Unmarshal([]byte(text), &parameter); failure != nil {
+			return Plan{}, mishap.Wrap(failure, mishap.ConfigurationInvalid, "value of "+path)
+		}
+		place := cue.ParsePath("parameters." + path)
+		if place.Err() != nil || !value.LookupPath(place).Exists() {
+			return Plan{}, mishap.New(mishap.ConfigurationInvalid, "the document has no parameter %q", path)
+		}
+		value = value.FillPath(place, context.Encode(number(parameter)))
+	}
+	value = value.Unify(shapes.LookupPath(cue.ParsePath("#Configuration")))
+	if failure := value.Validate(cue.Concrete(true), cue.Final()); failure != nil {
+		return Plan{}, declined(failure)
+	}
+	var plan Plan
+	if failure := value.Decode(&plan); failure != nil {
+		return Plan{}, declined(failure)
+	}
+	plan.fill()
+	return plan, plan.check()
+}
+
+// What a document leaves out. The schema has no defaults of its own, so that a
+// document's parameters can have them.
+const (
+	defaultQueue     = 256
+	defaultStart     = 500
+	defaultPriority  = 5
+	defaultTokens    = 64
+	defaultPercent   = 20
+	defaultAllowance = 5
+)
+
+func fill[Number comparable](into *Number, value Number) {
+	var absent Number
+	if *into == absent {
+		*into = value
+	}
+}
+
+func (plan *Plan) fill() {
+	for name, service := range plan.Services {
+		fill(&service.Queue, defaultQueue)
+		plan.Services[name] = service
+	}
+	for name, tenant := range plan.Tenants {
+		percent, allowance := defaultPercent, defaultAllowance
+		fill(&tenant.RepeatPercent, &percent)
+		fill(&tenant.RepeatAllowance, &allowance)
+		for kind, template := range tenant.Kinds {
+			fill(&template.StartMilliseconds, defaultStart)
+			fill(&template.Priority, defaultPriority)
+			fill(&template.MostTokens, defaultTokens)
+			tenant.Kinds[kind] = template
+		}
+		plan.Tenants[name] = tenant
+	}
+}
+
+func number(parameter any) any {
+	if float, yes := parameter.(float64); yes && float == float64(int64(float)) {
+		return int64(float)
+	}
+	return parameter
+}
+
+func declined(failure error) error {
+	lines := strings.TrimSpace(cueerrors.Details(failure, nil))
+	return mishap.New(mishap.ConfigurationInvalid, "%s", lines)
+}
+
+func (plan *Plan) check() error {
+	for tenant, each := range plan.Tenants {
+		for kind, template := range each.Kinds {
+			place := "tenants." + tenant + ".kinds." + kind
+			service, known := plan.Services[template.Service]
+			if !known {
+				return mishap.New(mishap.ConfigurationInvalid, "%s.service: no service %q", place, template.Service)
+			}
+			if _, held := service.Prefixes[template.Prefix]; template.Prefix != "" && !held {
+				return mishap.New(mishap.ConfigurationInvalid, "%s.prefix: service %q has no prefix %q", place, template.Service, template.Prefix)
+			}
+			if template.StartMilliseconds > template.AbandonMilliseconds {
+				return mishap.New(mishap.ConfigurationInvalid, "%s.startMilliseconds is above abandonMilliseconds", place)
+			}
+		}
+	}
+	return nil
+}
+
+// HasHall tells whether the plan knows the hall.
+func (plan *Plan) HasHall(name string) bool { return slices.Contains(plan.Halls, name) }
--- /dev/null
+++ b/internal/configuration/state.go
@@ -0,0 +1,184 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/gob"
+	"maps"
+	"slices"
+
+	"coursepass/internal/mishap"
+)
+
+// Kind says what an operator asked for.
+type Kind string
+
+// The kinds of operations.
+const (
+	Whole    Kind = "apply"
+	Small    Kind = "change"
+	Evacuate Kind = "evacuate"
+	Return   Kind = "return"
+)
+
+// Request is what an operator sends. Expected is the sequence it builds on; the
+// key lets the operator ask later what became of it.
+type Request struct {
+	Kind     Kind              `json:"kind"`
+	Key      string            `json:"key"`
+	Expected uint64            `json:"expected"`
+	Document string            `json:"document,omitempty"`
+	Changes  map[string]string `json:"changes,omitempty"`
+	Hall     string            `json:"hall,omitempty"`
+}
+
+// Outcome is what became of an operation.
+type Outcome struct {
+	Code     mishap.Code `json:"code"`
+	Sequence uint64      `json:"sequence"`
+	Text     string      `json:"text"`
+}
+
+// Operation is a checked request as it stands in the log.
+type Operation struct {
+	Request
+	Plan Plan
+}
+
+// View is all that is in force.
+type View struct {
+	Sequence  uint64
+	Document  string
+	Changes   map[string]string
+	Evacuated []string
+	Plan      Plan
+}
+
+// Gone tells whether a hall is evacuated.
+func (view *View) Gone(hall string) bool { return slices.Contains(view.Evacuated, hall) }
+
+// Draft checks a request against what is in force now and expands it, before it
+// is proposed.
+func (view *View) Draft(request Request) (Operation, error) {
+	operation := Operation{Request: request}
+	if request.Expected != view.Sequence {
+		return operation, stale(request.Expected, view.Sequence)
+	}
+	var failure error
+	switch request.Kind {
+	case Whole:
+		operation.Plan, failure = Expand(request.Document, nil)
+	case Small:
+		merged := maps.Clone(view.Changes)
+		if merged == nil {
+			merged = map[string]string{}
+		}
+		maps.Copy(merged, request.Changes)
+		operation.Changes = merged
+		operation.Plan, failure = Expand(view.Document, merged)
+	case Evacuate, Return:
+		if !view.Plan.HasHall(request.Hall) {
+			failure = mishap.New(mishap.UnknownHall, "hall %q", request.Hall)
+		}
+	default:
+		failure = mishap.New(mishap.Malformed, "operation kind %q", request.Kind)
+	}
+	return operation, failure
+}
+
+func stale(expected, present uint64) error {
+	return mishap.New(mishap.SequenceStale, "built on sequence %d, but %d is in force", expected, present)
+}
+
+const remembered = 1024
+
+type memory struct {
+	View
+	Outcomes map[string]Outcome
+	Order    []string
+}
+
+// State is what the log of part 0 builds.
+type State struct {
+	memory
+}
+
+// NewState is the state before any configuration.
+func NewState() *State { return &State{memory{Outcomes: map[string]Outcome{}}} }
+
+// View is a copy of what is in force.
+func (state *State) View() View { return state.memory.View }
+
+// Outcome finds what became of an operation.
+func (state *State) Outcome(key string) (Outcome, bool) {
+	outcome, known := state.Outcomes[key]
+	return outcome, known
+}
+
+// Apply puts one operation in force, or declines it if another came first. An
+// operation's key takes effect once.
+func (state *State) Apply(data []byte) []byte {
+	var operation Operation
+	if failure := gob.NewDecoder(bytes.NewReader(data)).Decode(&operation); failure != nil {
+		return Encode(Outcome{Code: mishap.Garbage, Sequence: state.Sequence, Text: failure.Error()})
+	}
+	outcome, known := state.Outcomes[operation.Key]
+	if !known {
+		outcome = state.enact(operation)
+		state.remember(operation.Key, outcome)
+	}
+	return Encode(outcome)
+}
+
+func (state *State) enact(operation Operation) Outcome {
+	if operation.Expected != state.Sequence {
+		failure := stale(operation.Expected, state.Sequence)
+		return Outcome{Code: mishap.SequenceStale, Sequence: state.Sequence, Text: mishap.Text(failure)}
+	}
+	state.Sequence++
+	switch operation.Kind {
+	case Whole:
+		state.Document, state.Changes, state.Plan = operation.Document, nil, operation.Plan
+		state.Evacuated = slices.DeleteFunc(slices.Clone(state.Evacuated), func(hall string) bool { return !state.Plan.HasHall(hall) })
+	case Small:
+		state.Changes, state.Plan = operation.Changes, operation.Plan
+	case Evacuate:
+		if !state.Gone(operation.Hall) {
+			state.Evacuated = append(slices.Clone(state.Evacuated), operation.Hall)
+		}
+	case Return:
+		state.Evacuated = slices.DeleteFunc(slices.Clone(state.Evacuated), func(hall string) bool { return hall == operation.Hall })
+	}
+	return Outcome{Sequence: state.Sequence}
+}
+
+func (state *State) remember(key string, outcome Outcome) {
+	state.Outcomes[key] = outcome
+	state.Order = append(state.Order, key)
+	if len(state.Order) > remembered {
+		delete(state.Outcomes, state.Order[0])
+		state.Order = slices.Clone(state.Order[1:])
+	}
+}
+
+// Number is the state's own sequence.
+func (state *State) Number() uint64 { return state.Sequence }
+
+// Snapshot is the whole state.
+func (state *State) Snapshot() []byte { return Encode(state.memory) }
+
+// Restore takes the whole state.
+func (state *State) Restore(snapshot []byte) {
+	fresh := memory{Outcomes: map[string]Outcome{}}
+	if gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&fresh) == nil {
+		state.memory = fresh
+	}
+}
+
+// Encode writes a value with gob.
+func Encode(value any) []byte {
+	var buffer bytes.Buffer
+	if failure := gob.NewEncoder(&buffer).Encode(value); failure != nil {
+		panic(failure)
+	}
+	return buffer.Bytes()
+}
--- /dev/null
+++ b/internal/contract/contract.go
@@ -0,0 +1,134 @@
+// Package contract pairs prompt-reading engines with token-making ones and sets
+// how many play each part.
+package contract
+
+import (
+	"slices"
+
+	"coursepass/internal/schedule"
+)
+
+// The parts an engine may play.
+const (
+	Both    = "both"
+	Prefill = "prefill"
+	Decode  = "decode"
+)
+
+// Pair lets a prefill engine hand its prompt memory to a decode engine.
+type Pair struct {
+	Prefill string
+	Decode  string
+	Weight  int
+}
+
+// Contract is what the leader of a service's part has its engines do: their
+// parts and pairings, under its round.
+type Contract struct {
+	Service string
+	Round   uint64
+	Owner   string
+	Parts   map[string]string
+	Pairs   []Pair
+}
+
+// Same tells whether two contracts ask the same of engines and routers.
+func (contract Contract) Same(other Contract) bool {
+	if contract.Round != other.Round || contract.Owner != other.Owner || len(contract.Parts) != len(other.Parts) {
+		return false
+	}
+	for name, part := range contract.Parts {
+		if other.Parts[name] != part {
+			return false
+		}
+	}
+	return slices.Equal(contract.Pairs, other.Pairs)
+}
+
+// Partners are the decode engines that a prefill engine hands over to.
+func (contract Contract) Partners(prefill string) []Pair {
+	var pairs []Pair
+	for _, pair := range contract.Pairs {
+		if pair.Prefill == prefill {
+			pairs = append(pairs, pair)
+		}
+	}
+	return pairs
+}
+
+// Candidate is a live engine as the leader sees it.
+type Candidate struct {
+	Name    string
+	Hall    string
+	Version string
+	Part    string
+}
+
+const (
+	nearWeight = 4
+	farWeight  = 1
+)
+
+// Draw pairs all candidates of the same version, those in one hall first.
+func Draw(service, owner string, round uint64, candidates []Candidate) Contract {
+	drawn := Contract{Service: service, Owner: owner, Round: round, Parts: map[string]string{}}
+	slices.SortFunc(candidates, func(left, right Candidate) int {
+		if left.Name < right.Name {
+			return -1
+		}
+		return 1
+	})
+	for _, reader := range candidates {
+		drawn.Parts[reader.Name] = reader.Part
+		if reader.Part == Decode {
+			continue
+		}
+		for _, writer := range candidates {
+			if writer.Part == Prefill || writer.Version != reader.Version || writer.Name == reader.Name && reader.Part != Both {
+				continue
+			}
+			weight := farWeight
+			if writer.Hall == reader.Hall {
+				weight = nearWeight
+			}
+			drawn.Pairs = append(drawn.Pairs, Pair{reader.Name, writer.Name, weight})
+		}
+	}
+	return drawn
+}
+
+// Share decides how many of an odd or even number of engines read prompts. It
+// moves one engine at a time, only after the mix has stood beyond its band for
+// the whole settling span.
+type Share struct {
+	Settle schedule.Microseconds
+	beyond schedule.Microseconds
+	way    int
+}
+
+const band = 0.12
+
+// Readers is the number of prompt readers wanted now among count engines, given
+// how many there are and which fraction of all busy time is prompt reading.
+func (share *Share) Readers(now schedule.Microseconds, count, present int, fraction float64) int {
+	if count < 2 {
+		return present
+	}
+	present = min(max(present, 1), count-1)
+	have := float64(present) / float64(count)
+	way := 0
+	switch {
+	case fraction > have+band && present < count-1:
+		way = 1
+	case fraction < have-band && present > 1:
+		way = -1
+	}
+	if way != share.way {
+		share.way, share.beyond = way, now
+	}
+	if way != 0 && now-share.beyond >= share.Settle {
+		share.beyond = now
+		return present + way
+	}
+	return present
+}
--- /dev/null
+++ b/internal/core/duty.go
@@ -0,0 +1,319 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/configuration"
+	"coursepass/internal/contract"
+	"coursepass/internal/mishap"
+	"coursepass/internal/order"
+	"coursepass/internal/schedule"
+)
+
+const (
+	pollEvery   = 500 * schedule.Millisecond
+	pollBudget  = 400 * schedule.Millisecond
+	darkAfter   = 1500 * schedule.Millisecond
+	suspectSpan = 2 * schedule.Second
+	orderBudget = 600 * schedule.Millisecond
+	settleSpan  = 5 * schedule.Second
+)
+
+type soft struct {
+	catalogue.Report
+	heard   schedule.Microseconds
+	suspect schedule.Microseconds
+	earlier catalogue.Report
+}
+
+// duty is the leader's work for the services of one part.
+type duty struct {
+	core    *Core
+	shard   *shard
+	engines *catalogue.State
+	desk    *order.Desk
+	client  *http.Client
+	polls   atomic.Int64
+	rulings atomic.Int64
+	retries atomic.Int64
+	lock    sync.Mutex
+	soft    map[string]*soft
+	wanted  map[string]string
+	shares  map[string]*contract.Share
+}
+
+func newDuty(core *Core, shard *shard, engines *catalogue.State) *duty {
+	duty := &duty{core: core, shard: shard, engines: engines, soft: map[string]*soft{}, wanted: map[string]string{}, shares: map[string]*contract.Share{}}
+	duty.desk = order.NewDesk(core.Machine.Name, orderBudget, core.clock, &shard.right, core.meter)
+	duty.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Meter: core.meter})}
+	return duty
+}
+
+func (duty *duty) run(context context.Context) {
+	schedule.Every(context, pollEvery, func() {
+		if status := duty.shard.status.Load(); status != nil && status.Owner {
+			duty.round(context)
+		}
+	})
+}
+
+// round is one turn of the leader's work: ask all engines, sign a new contract
+// where the picture changed, and give the standing orders.
+func (duty *duty) round(context context.Context) {
+	var view catalogue.View
+	var plan configuration.View
+	if !duty.shard.ask(context, func() { view = duty.engines.View }) {
+		return
+	}
+	if !duty.core.shards[0].ask(context, func() { plan = duty.core.configs.View() }) {
+		return
+	}
+	duty.poll(context, view)
+	right := duty.shard.right.Load()
+	round := duty.shard.status.Load().Round
+	for service := range duty.services(view) {
+		drawn, standing := duty.draw(service, round, view, plan)
+		if !drawn.Same(view.Contracts[service]) {
+			duty.sign(context, drawn)
+		}
+		for name, each := range standing {
+			if report, fresh := duty.fresh(name); fresh {
+				duty.desk.Give(context, right, report, each)
+			}
+		}
+	}
+}
+
+func (duty *duty) services(view catalogue.View) map[string]bool {
+	services := map[string]bool{}
+	for _, engine := range view.Engines {
+		services[engine.Service] = true
+	}
+	return services
+}
+
+func (duty *duty) poll(parent context.Context, view catalogue.View) {
+	bounded, cancel := context.WithTimeout(parent, pollBudget.Duration())
+	defer cancel()
+	var group sync.WaitGroup
+	for _, engine := range view.Engines {
+		group.Go(func() {
+			duty.polls.Add(1)
+			report, failure := duty.fetch(bounded, engine.Address)
+			if failure != nil || report.Name != engine.Name {
+				return
+			}
+			duty.lock.Lock()
+			defer duty.lock.Unlock()
+			known, held := duty.soft[engine.Name]
+			if !held {
+				known = &soft{earlier: report}
+				duty.soft[engine.Name] = known
+			}
+			if held && known.Incarnation != report.Incarnation {
+				known.earlier, known.suspect = report, 0
+			}
+			known.Report, known.heard = report, duty.core.clock.Now()
+		})
+	}
+	group.Wait()
+}
+
+func (duty *duty) fetch(context context.Context, address string) (catalogue.Report, error) {
+	var report catalogue.Report
+	request, failure := http.NewRequestWithContext(context, http.MethodGet, "http://"+address+"/report", nil)
+	if failure != nil {
+		return report, mishap.Wrap(failure, mishap.Garbage, address)
+	}
+	answer, failure := duty.client.Do(request)
+	if failure != nil {
+		return report, mishap.Wrap(failure, mishap.CircuitLost, address)
+	}
+	defer answer.Body.Close()
+	failure = json.NewDecoder(io.LimitReader(answer.Body, 1<<20)).Decode(&report)
+	return report, mishap.Wrap(failure, mishap.Garbage, address)
+}
+
+func (duty *duty) fresh(name string) (catalogue.Report, bool) {
+	duty.lock.Lock()
+	defer duty.lock.Unlock()
+	known, held := duty.soft[name]
+	if !held || duty.core.clock.Now()-known.heard > pollEvery+pollBudget {
+		return catalogue.Report{}, false
+	}
+	return known.Report, true
+}
+
+// told is what all engines told lately, empty where this core does not lead.
+func (duty *duty) told() []catalogue.Report {
+	status := duty.shard.status.Load()
+	if status == nil || !status.Owner {
+		return nil
+	}
+	duty.lock.Lock()
+	defer duty.lock.Unlock()
+	var reports []catalogue.Report
+	for _, known := range duty.soft {
+		if duty.core.clock.Now()-known.heard < darkAfter {
+			reports = append(reports, known.Report)
+		}
+	}
+	return reports
+}
+
+// draw makes the contract of a service and the standing order of each engine.
+func (duty *duty) draw(service string, round uint64, view catalogue.View, plan configuration.View) (contract.Contract, map[string]order.Standing) {
+	duty.lock.Lock()
+	defer duty.lock.Unlock()
+	now := duty.core.clock.Now()
+	var live []*soft
+	standing := map[string]order.Standing{}
+	var candidates []contract.Candidate
+	for name, engine := range view.Engines {
+		known, held := duty.soft[name]
+		if engine.Service != service || !held || now-known.heard > darkAfter || known.suspect > now {
+			continue
+		}
+		if engine.Leaving || plan.Gone(engine.Hall) || known.Draining {
+			standing[name] = order.Standing{Part: known.Part, Drain: true}
+			continue
+		}
+		live = append(live, known)
+		candidates = append(candidates, contract.Candidate{Name: name, Hall: engine.Hall, Version: known.Version, Part: known.Part})
+	}
+	drawn := contract.Draw(service, duty.core.Machine.Inner, round, candidates)
+	duty.assign(service, now, live)
+	for _, each := range live {
+		wanted := order.Standing{Part: duty.wanted[each.Name]}
+		for _, pair := range drawn.Partners(each.Name) {
+			wanted.Partners = append(wanted.Partners, order.Partner{Name: pair.Decode, Address: view.Engines[pair.Decode].Address})
+		}
+		standing[each.Name] = wanted
+	}
+	return drawn, standing
+}
+
+// assign sets how many engines play which part. The first split follows half and
+// half; then the mix of busy time moves it, one engine at a time.
+func (duty *duty) assign(service string, now schedule.Microseconds, live []*soft) {
+	slices.SortFunc(live, func(left, right *soft) int {
+		if left.Name < right.Name {
+			return -1
+		}
+		return 1
+	})
+	share, known := duty.shares[service]
+	if !known {
+		share = &contract.Share{Settle: settleSpan}
+		duty.shares[service] = share
+	}
+	readers, prefill, decode := 0, 0.0, 0.0
+	for _, each := range live {
+		if duty.wanted[each.Name] == "" && each.Part != contract.Both {
+			duty.wanted[each.Name] = each.Part
+		}
+		if duty.wanted[each.Name] == contract.Prefill {
+			readers++
+		}
+		prefill += float64(each.PrefillBusy - each.earlier.PrefillBusy)
+		decode += float64(each.DecodeBusy - each.earlier.DecodeBusy)
+		each.earlier.PrefillBusy += (each.PrefillBusy - each.earlier.PrefillBusy) / 8
+		each.earlier.DecodeBusy += (each.DecodeBusy - each.earlier.DecodeBusy) / 8
+	}
+	if len(live) < 2 {
+		for _, each := range live {
+			duty.wanted[each.Name] = contract.Both
+		}
+		return
+	}
+	if readers == 0 {
+		readers = len(live) / 2
+	}
+	fraction := 0.5
+	if prefill+decode > 0 {
+		fraction = prefill / (prefill + decode)
+	}
+	duty.spread(live, share.Readers(now, len(live), readers, fraction))
+}
+
+// spread keeps present parts where it can, and else takes engines from the halls
+// that have most of the part to be reduced.
+func (duty *duty) spread(live []*soft, readers int) {
+	var idle []*soft
+	have := 0
+	perHall := map[string]int{}
+	for _, each := range live {
+		switch duty.wanted[each.Name] {
+		case contract.Prefill:
+			have++
+			perHall[each.Hall]++
+		case contract.Decode:
+		default:
+			idle = append(idle, each)
+			duty.wanted[each.Name] = contract.Decode
+		}
+	}
+	move := func(from, to string, pool []*soft, change int) {
+		best := -1
+		for place, each := range pool {
+			if duty.wanted[each.Name] == from && (best < 0 || change*perHall[each.Hall] < change*perHall[pool[best].Hall]) {
+				best = place
+			}
+		}
+		if best >= 0 {
+			duty.wanted[pool[best].Name] = to
+			perHall[pool[best].Hall] += change
+			have += change
+		}
+	}
+	for count := len(idle); count > 0 && have < readers; count-- {
+		move(contract.Decode, contract.Prefill, idle, 1)
+	}
+	if have < readers {
+		move(contract.Decode, contract.Prefill, live, 1)
+	}
+	if have > readers {
+		move(contract.Prefill, contract.Decode, live, -1)
+	}
+}
+
+func (duty *duty) sign(parent context.Context, drawn contract.Contract) {
+	bounded, cancel := context.WithTimeout(parent, schedule.Second.Duration())
+	defer cancel()
+	operation := catalogue.Operation{Kind: catalogue.Sign, Contract: drawn}
+	if _, failure := duty.shard.propose(bounded, func() ([]byte, error) { return operation.Encode(), nil }); failure != nil {
+		log.Warn().Str("core", duty.core.Machine.Name).Str("service", drawn.Service).Err(failure).Msg("contract not signed")
+	}
+}
+
+// rule decides on a trouble that a router reports: whether the request may be
+// tried again, and that its engine is avoided for a while.
+func (duty *duty) rule(trouble Trouble) *Ruling {
+	status := duty.shard.status.Load()
+	ruling := &Ruling{Owner: status != nil && status.Owner, Avoid: trouble.Engine}
+	if !ruling.Owner {
+		return ruling
+	}
+	ruling.Round = status.Round
+	duty.rulings.Add(1)
+	duty.lock.Lock()
+	if known, held := duty.soft[trouble.Engine]; held && !trouble.Proved {
+		known.suspect = duty.core.clock.Now() + suspectSpan
+	}
+	duty.lock.Unlock()
+	ruling.Retry = !trouble.Streamed && trouble.Tries < 3 && trouble.Left > 0 && (trouble.Proved || trouble.Repeats && !trouble.OneShot)
+	if ruling.Retry {
+		duty.retries.Add(1)
+	}
+	return ruling
+}
--- /dev/null
+++ b/internal/core/heads.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"context"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/machine"
+	"coursepass/internal/news"
+	"coursepass/internal/schedule"
+)
+
+// Paths of the procedures that routers call.
+const (
+	HeadsPath  = "/core/heads"
+	MishapPath = "/core/mishap"
+	CopyPath   = "/core/copy"
+)
+
+// HeadsQuestion asks for the heads of all parts.
+type HeadsQuestion struct {
+	From machine.Machine
+	// Soft asks a leader for what its engines told it.
+	Soft bool
+}
+
+// PartHead is a part's head as one core knows it. Only a current one counts in a
+// majority read.
+type PartHead struct {
+	news.Head
+	Current    bool
+	Recovering bool
+}
+
+// HeadsAnswer is one core's heads.
+type HeadsAnswer struct {
+	Slot  int
+	Parts []PartHead
+	Soft  []catalogue.Report
+}
+
+// Copies are a router's copies of parts, for cores that lost their disks.
+type Copies struct{ Items []news.Item }
+
+// Thanks is an empty answer.
+type Thanks struct{ Taken int }
+
+// Trouble is what a router reports when an engine failed a request.
+type Trouble struct {
+	Service string
+	Engine  string
+	Run     string
+	Stage   string
+	// Streamed says that tokens reached the caller; Proved that the engine's own
+	// answer shows that it did not start.
+	Streamed bool
+	Proved   bool
+	OneShot  bool
+	Repeats  bool
+	Tries    int
+	Left     schedule.Microseconds
+}
+
+// Ruling is the leader's decision on a trouble.
+type Ruling struct {
+	Owner bool
+	Retry bool
+	Avoid string
+	Round uint64
+}
+
+func (core *Core) serveRouters() {
+	circuit.Answer(core.inner, HeadsPath, func(_ context.Context, question *HeadsQuestion) (*HeadsAnswer, error) {
+		core.meter.Know(question.From.Inner, question.From.Hall)
+		answer := &HeadsAnswer{Slot: core.slot}
+		for _, shard := range core.shards {
+			found := PartHead{Head: news.Head{Part: shard.index}}
+			if status := shard.status.Load(); status != nil {
+				found.Current, found.Recovering = status.Current, status.Recovering
+				found.Index, found.Sequence = status.Commit, status.Sequence
+			}
+			answer.Parts = append(answer.Parts, found)
+		}
+		if question.Soft {
+			for _, duty := range core.duties {
+				answer.Soft = append(answer.Soft, duty.told()...)
+			}
+		}
+		return answer, nil
+	})
+	circuit.Answer(core.inner, CopyPath, func(context context.Context, copies *Copies) (*Thanks, error) {
+		thanks := &Thanks{}
+		for _, item := range copies.Items {
+			if item.Part >= 0 && item.Part < len(core.shards) && len(item.Data) > 0 {
+				core.shards[item.Part].offer(context, item)
+				thanks.Taken++
+			}
+		}
+		return thanks, nil
+	})
+	circuit.Answer(core.inner, MishapPath, func(_ context.Context, trouble *Trouble) (*Ruling, error) {
+		return core.duties[ServicePart(trouble.Service, core.Parts)-1].rule(*trouble), nil
+	})
+}
--- /dev/null
+++ b/internal/core/operate.go
@@ -0,0 +1,154 @@
+package core
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/configuration"
+	"coursepass/internal/mishap"
+	"coursepass/internal/schedule"
+)
+
+const (
+	operatePath   = "/core/operate"
+	operateBudget = 4 * schedule.Second
+)
+
+// Errand is what a core asks the owner of a part to do for it.
+type Errand struct {
+	Configure *configuration.Request
+	Outcome   string
+	Read      bool
+	Engines   *catalogue.Operation
+	Service   string
+	Relayed   bool
+}
+
+// Errands bring back an outcome, or all that is in force.
+type Errands struct {
+	configuration.Outcome
+	View    configuration.View
+	Engines catalogue.View
+}
+
+func (errand *Errand) part(parts int) int {
+	if errand.Service == "" {
+		return 0
+	}
+	return ServicePart(errand.Service, parts)
+}
+
+// operate does an errand here if this core owns the part, and else relays it once
+// to the core that leads. An operation that may have gone into a log is never
+// sent again.
+func (core *Core) operate(parent context.Context, errand *Errand) (*Errands, error) {
+	bounded, cancel := context.WithTimeout(parent, operateBudget.Duration())
+	defer cancel()
+	shard := core.shards[errand.part(core.Parts)]
+	status := shard.status.Load()
+	if status == nil || status.Leader < 0 || status.Leader != core.slot && errand.Relayed {
+		return nil, mishap.New(mishap.NotOwner, "part %d has no leader here", shard.index)
+	}
+	if status.Leader == core.slot {
+		return core.perform(bounded, shard, errand)
+	}
+	relayed := *errand
+	relayed.Relayed = true
+	answer, failure := circuit.Call[Errand, Errands](bounded, core.inner, core.Seeds[status.Leader], operatePath, operateBudget, &relayed)
+	if failure != nil {
+		return nil, mishap.Wrap(failure, mishap.OutcomeUnknown, "the leading core did not answer")
+	}
+	return answer, nil
+}
+
+func (core *Core) perform(context context.Context, shard *shard, errand *Errand) (*Errands, error) {
+	answer := &Errands{}
+	switch {
+	case errand.Configure != nil:
+		outcome, failure := core.configure(context, shard, *errand.Configure)
+		answer.Outcome = outcome
+		return answer, failure
+	case errand.Engines != nil:
+		data, failure := shard.propose(context, func() ([]byte, error) { return errand.Engines.Encode(), nil })
+		if failure != nil {
+			return nil, failure
+		}
+		result, failure := catalogue.ReadResult(data)
+		answer.Code, answer.Sequence = result.Code, result.Sequence
+		return answer, failure
+	}
+	return answer, core.read(context, shard, errand, answer)
+}
+
+// read proves by an empty entry that this core still leads, and then reads.
+func (core *Core) read(context context.Context, shard *shard, errand *Errand, answer *Errands) error {
+	if _, failure := shard.propose(context, func() ([]byte, error) { return nil, nil }); failure != nil {
+		return mishap.Wrap(failure, mishap.NoMajority, "read")
+	}
+	read := shard.ask(context, func() {
+		if shard.index > 0 {
+			answer.Engines = core.duties[shard.index-1].engines.View
+			return
+		}
+		answer.View = core.configs.View()
+		if errand.Outcome != "" {
+			found, known := core.configs.Outcome(errand.Outcome)
+			if answer.Outcome = found; !known {
+				answer.Outcome = configuration.Outcome{Code: mishap.UnknownOperation, Sequence: answer.View.Sequence, Text: errand.Outcome}
+			}
+		}
+	})
+	if !read {
+		return mishap.New(mishap.NoMajority, "read")
+	}
+	return nil
+}
+
+func (core *Core) configure(context context.Context, shard *shard, request configuration.Request) (configuration.Outcome, error) {
+	var view configuration.View
+	var earlier configuration.Outcome
+	var known bool
+	if !shard.ask(context, func() {
+		view = core.configs.View()
+		earlier, known = core.configs.Outcome(request.Key)
+	}) {
+		return configuration.Outcome{}, mishap.New(mishap.NotOwner, "part 0")
+	}
+	var operation configuration.Operation
+	if !known {
+		drafted, failure := view.Draft(request)
+		if failure != nil {
+			return configuration.Outcome{Code: mishap.CodeOf(failure, mishap.Malformed), Sequence: view.Sequence, Text: mishap.Text(failure)}, nil
+		}
+		operation = drafted
+	} else {
+		operation.Key = request.Key
+		log.Info().Str("core", core.Machine.Name).Str("key", request.Key).Int("code", int(earlier.Code)).Msg("operation seen before")
+	}
+	data, failure := shard.propose(context, func() ([]byte, error) { return configuration.Encode(operation), nil })
+	if failure != nil {
+		return configuration.Outcome{}, failure
+	}
+	var outcome configuration.Outcome
+	failure = gob.NewDecoder(bytes.NewReader(data)).Decode(&outcome)
+	if failure == nil && outcome.Code == mishap.Fine {
+		log.Info().Str("core", core.Machine.Name).Str("kind", string(request.Kind)).Uint64("sequence", outcome.Sequence).Msg("configuration in force")
+	}
+	return outcome, mishap.Wrap(failure, mishap.Garbage, "outcome")
+}
+
+func (core *Core) serveErrands() {
+	circuit.Answer(core.inner, operatePath, func(context context.Context, errand *Errand) (*Errands, error) {
+		errand.Relayed = true
+		answer, failure := core.operate(context, errand)
+		if failure == nil {
+			return answer, nil
+		}
+		return &Errands{Outcome: configuration.Outcome{Code: mishap.CodeOf(failure, mishap.OutcomeUnknown), Text: mishap.Text(failure)}}, nil
+	})
+}
--- /dev/null
+++ b/internal/core/public.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"net/http"
+	"slices"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/configuration"
+	"coursepass/internal/mishap"
+)
+
+// Listed is an engine in the list, as operators and the platform see it.
+type Listed struct {
+	catalogue.Engine
+	Part string `json:"part"`
+	Live bool   `json:"live"`
+}
+
+// Shown is a configuration as operators see it.
+type Shown struct {
+	Sequence  uint64             `json:"sequence"`
+	Document  string             `json:"document"`
+	Changes   map[string]string  `json:"changes"`
+	Evacuated []string           `json:"evacuated"`
+	Plan      configuration.Plan `json:"plan"`
+}
+
+// Overview is a core's status.
+type Overview struct {
+	Name     string           `json:"name"`
+	Hall     string           `json:"hall"`
+	Slot     int              `json:"slot"`
+	Parts    []Status         `json:"parts"`
+	Counters map[string]int64 `json:"counters"`
+}
+
+func (core *Core) public() http.Handler {
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, "live") })
+	routes.HandleFunc("GET /ready", core.ready)
+	routes.HandleFunc("GET /v1/status", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, core.overview()) })
+	routes.HandleFunc("GET /counters", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, core.counters()) })
+	routes.HandleFunc("POST /v1/operations", core.takeOperation)
+	routes.HandleFunc("GET /v1/operations/{key}", core.showOperation)
+	routes.HandleFunc("GET /v1/configuration", core.showConfiguration)
+	routes.HandleFunc("GET /v1/services/{service}/engines", core.listEngines)
+	routes.HandleFunc("POST /v1/engines", core.enrolEngine)
+	routes.HandleFunc("POST /v1/services/{service}/engines/{name}/leave", core.leaveEngine)
+	return routes
+}
+
+func (core *Core) ready(writer http.ResponseWriter, _ *http.Request) {
+	for _, shard := range core.shards {
+		if status := shard.status.Load(); status == nil || status.Recovering || !status.Current {
+			circuit.WriteDecline(writer, mishap.New(mishap.NoMajority, "part %d", shard.index), "", 1)
+			return
+		}
+	}
+	circuit.WriteJSON(writer, 200, "ready")
+}
+
+func (core *Core) counters() map[string]int64 {
+	counters := map[string]int64{
+		"messages-sent": core.Sent.Load(), "messages-taken": core.Taken.Load(), "messages-dropped": core.Dropped.Load(),
+		"messages-late": core.Late.Load(), "foreign": core.inner.Foreign.Load(), "garbage": core.inner.Garbage.Load(),
+		"calls": core.meter.Calls.Load(), "bytes-inside": core.meter.Inside.Load(), "bytes-across": core.meter.Across.Load(),
+		"bytes-unknown": core.meter.Unknown.Load(), "journal-records": core.journal.Records.Load(), "journal-syncs": core.journal.Syncs.Load(),
+		"journal-rewrites": core.journal.Rewrites.Load(), "journal-cut": core.journal.Cut.Load(), "journal-waiting": int64(core.journal.Waiting()),
+		"news-taken": core.gossip.Taken.Load(), "news-known": core.gossip.Known.Load(), "news-passed": core.gossip.Passed.Load(), "news-mended": core.gossip.Mended.Load(),
+	}
+	for _, duty := range core.duties {
+		counters["orders-sent"] += duty.desk.Sent.Load()
+		counters["orders-acked"] += duty.desk.Acked.Load()
+		counters["orders-held"] += duty.desk.Held.Load()
+		counters["orders-mishaps"] += duty.desk.Mishaps.Load()
+		counters["polls"] += duty.polls.Load()
+		counters["rulings"] += duty.rulings.Load()
+		counters["rulings-retry"] += duty.retries.Load()
+	}
+	return counters
+}
+
+func (core *Core) overview() Overview {
+	overview := Overview{Name: core.Machine.Name, Hall: core.Machine.Hall, Slot: core.slot, Counters: core.counters()}
+	for _, shard := range core.shards {
+		if status := shard.status.Load(); status != nil {
+			overview.Parts = append(overview.Parts, *status)
+		}
+	}
+	return overview
+}
+
+func (core *Core) answer(writer http.ResponseWriter, request *http.Request, errand *Errand, write func(*Errands)) {
+	answer, failure := core.operate(request.Context(), errand)
+	if failure == nil && answer.Code != mishap.Fine {
+		failure = mishap.New(answer.Code, "%s", answer.Text)
+	}
+	if failure != nil {
+		retry := 0
+		if code := mishap.CodeOf(failure, mishap.OutcomeUnknown); code == mishap.NotOwner || code == mishap.NoMajority {
+			retry = 1
+		}
+		circuit.WriteDecline(writer, failure, "", retry)
+		return
+	}
+	write(answer)
+}
+
+func (core *Core) takeOperation(writer http.ResponseWriter, request *http.Request) {
+	var wanted configuration.Request
+	if failure := circuit.ReadJSON(writer, request, configuration.Largest+(1<<20), &wanted); failure != nil {
+		circuit.WriteDecline(writer, failure, "", 0)
+		return
+	}
+	if wanted.Key == "" || len(wanted.Key) > 128 {
+		circuit.WriteDecline(writer, mishap.New(mishap.KeyMissing, "operation"), "", 0)
+		return
+	}
+	core.answer(writer, request, &Errand{Configure: &wanted}, func(answer *Errands) { circuit.WriteJSON(writer, 200, answer.Outcome) })
+}
+
+func (core *Core) showOperation(writer http.ResponseWriter, request *http.Request) {
+	core.answer(writer, request, &Errand{Read: true, Outcome: request.PathValue("key")}, func(answer *Errands) {
+		circuit.WriteJSON(writer, 200, answer.Outcome)
+	})
+}
+
+func (core *Core) showConfiguration(writer http.ResponseWriter, request *http.Request) {
+	core.answer(writer, request, &Errand{Read: true}, func(answer *Errands) {
+		circuit.WriteJSON(writer, 200, Shown(answer.View))
+	})
+}
+
+func (core *Core) listEngines(writer http.ResponseWriter, request *http.Request) {
+	service := request.PathValue("service")
+	core.answer(writer, request, &Errand{Read: true, Service: service}, func(answer *Errands) {
+		listed := []Listed{}
+		parts := answer.Engines.Contracts[service].Parts
+		for name, engine := range answer.Engines.Engines {
+			if engine.Service == service {
+				part, live := parts[name]
+				listed = append(listed, Listed{Engine: engine, Part: part, Live: live})
+			}
+		}
+		slices.SortFunc(listed, func(left, right Listed) int {
+			if left.Name < right.Name {
+				return -1
+			}
+			return 1
+		})
+		circuit.WriteJSON(writer, 200, listed)
+	})
+}
+
+func (core *Core) enrolEngine(writer http.ResponseWriter, request *http.Request) {
+	var engine catalogue.Engine
+	if failure := circuit.ReadJSON(writer, request, 64<<10, &engine); failure != nil {
+		circuit.WriteDecline(writer, failure, "", 0)
+		return
+	}
+	if engine.Name == "" || engine.Service == "" || engine.Hall == "" || engine.Incarnation == "" || circuit.CheckAddress(engine.Address) != nil {
+		circuit.WriteDecline(writer, mishap.New(mishap.Malformed, "an engine needs name, service, hall, incarnation and an IP address"), "", 0)
+		return
+	}
+	errand := &Errand{Service: engine.Service, Engines: &catalogue.Operation{Kind: catalogue.Enrol, Engine: engine}}
+	core.answer(writer, request, errand, func(answer *Errands) { circuit.WriteJSON(writer, 200, answer.Outcome) })
+}
+
+func (core *Core) leaveEngine(writer http.ResponseWriter, request *http.Request) {
+	engine := catalogue.Engine{Name: request.PathValue("name"), Service: request.PathValue("service")}
+	errand := &Errand{Service: engine.Service, Engines: &catalogue.Operation{Kind: catalogue.Leave, Engine: engine}}
+	core.answer(writer, request, errand, func(answer *Errands) { circuit.WriteJSON(writer, 200, answer.Outcome) })
+}
--- /dev/null
+++ b/internal/core/sender.go
@@ -0,0 +1,106 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/link"
+	"coursepass/internal/part"
+	"coursepass/internal/schedule"
+)
+
+const deliverPath = "/core/deliver"
+
+// Parcel is a few messages of parts with the stamp of their sending.
+type Parcel struct {
+	link.Stamp
+	From     int
+	Messages []part.Message
+}
+
+type outgoing struct {
+	part.Message
+	at schedule.Microseconds
+}
+
+// Sender counters.
+type senderCounters struct {
+	Sent    atomic.Int64
+	Dropped atomic.Int64
+	Late    atomic.Int64
+	Taken   atomic.Int64
+}
+
+// sender carries the messages of all parts to one other slot. Election messages
+// go each on their own, so that nothing before them can hold them up.
+type sender struct {
+	*senderCounters
+	inner   *circuit.Inner
+	clock   *schedule.Clock
+	self    int
+	address string
+	delta   schedule.Microseconds
+	queue   chan outgoing
+	lock    sync.Mutex
+	gauge   link.Gauge
+}
+
+func (sender *sender) stamp(at schedule.Microseconds) link.Stamp {
+	sender.lock.Lock()
+	defer sender.lock.Unlock()
+	return sender.gauge.Stamp(at)
+}
+
+func (sender *sender) send(context context.Context, message part.Message) {
+	each := outgoing{message, sender.clock.Now()}
+	if message.Kind == part.Elect {
+		go sender.deliver(context, each.at, sender.delta, []part.Message{message})
+		return
+	}
+	select {
+	case sender.queue <- each:
+	default:
+		sender.Dropped.Add(1)
+	}
+}
+
+func (sender *sender) run(context context.Context) {
+	for {
+		select {
+		case <-context.Done():
+			return
+		case first := <-sender.queue:
+			messages := []part.Message{first.Message}
+			for more := len(sender.queue); more > 0; more-- {
+				messages = append(messages, (<-sender.queue).Message)
+			}
+			sender.deliver(context, first.at, 5*sender.delta, messages)
+		}
+	}
+}
+
+func (sender *sender) deliver(context context.Context, at, budget schedule.Microseconds, messages []part.Message) {
+	stamp := sender.stamp(at)
+	if !stamp.Known {
+		sender.call(context, budget, &Parcel{From: sender.self})
+		stamp = sender.stamp(at)
+	}
+	if !sender.call(context, budget, &Parcel{Stamp: stamp, From: sender.self, Messages: messages}) {
+		sender.Dropped.Add(int64(len(messages)))
+		return
+	}
+	sender.Sent.Add(int64(len(messages)))
+}
+
+func (sender *sender) call(context context.Context, budget schedule.Microseconds, parcel *Parcel) bool {
+	reading, failure := circuit.Call[Parcel, link.Reading](context, sender.inner, sender.address, deliverPath, budget, parcel)
+	if failure != nil {
+		return false
+	}
+	sender.lock.Lock()
+	defer sender.lock.Unlock()
+	sender.gauge.Read(sender.clock.Now(), *reading)
+	return true
+}
--- /dev/null
+++ b/internal/core/shard.go
@@ -0,0 +1,211 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/journal"
+	"coursepass/internal/mishap"
+	"coursepass/internal/news"
+	"coursepass/internal/order"
+	"coursepass/internal/part"
+	"coursepass/internal/schedule"
+)
+
+// replica is a part's state as a core keeps it.
+type replica interface {
+	part.State
+	Number() uint64
+}
+
+type spot struct{ index, round uint64 }
+
+// Status is what a core says of one part.
+type Status struct {
+	Part       int                   `json:"part"`
+	Slot       int                   `json:"slot"`
+	Leader     int                   `json:"leader"`
+	Round      uint64                `json:"round"`
+	Promised   uint64                `json:"promised"`
+	Commit     uint64                `json:"commit"`
+	Sequence   uint64                `json:"sequence"`
+	Owner      bool                  `json:"owner"`
+	Current    bool                  `json:"current"`
+	Recovering bool                  `json:"recovering"`
+	GrantLeft  schedule.Microseconds `json:"grantLeftMicroseconds"`
+	QuietLeft  schedule.Microseconds `json:"quietLeftMicroseconds"`
+}
+
+// shard drives one part's member: it alone touches the member and its state.
+type shard struct {
+	*schedule.Loop[func()]
+	core    *Core
+	index   int
+	member  *part.Member
+	state   replica
+	lock    sync.Mutex
+	waiting map[spot]chan []byte
+	status  atomic.Pointer[Status]
+	right   atomic.Pointer[order.Right]
+	head    atomic.Pointer[news.Head]
+}
+
+func (shard *shard) run(context context.Context, past journal.Past, empty, founding bool) {
+	place := shard.core.place(shard.index)
+	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), empty, founding)
+	shard.member = member
+	shard.carry(context, output)
+	shard.Run(context, func(step func()) schedule.Microseconds {
+		step()
+		return member.Next()
+	}, func() schedule.Microseconds {
+		shard.carry(context, member.Wake(shard.Clock.Now()))
+		return member.Next()
+	})
+}
+
+func (shard *shard) receive(context context.Context, message part.Message) {
+	shard.Put(context, func() { shard.carry(context, shard.member.Receive(shard.Clock.Now(), message)) })
+}
+
+// What others read is shown before anything is answered, so that whoever hears an
+// acknowledgement finds it in the heads of a majority.
+func (shard *shard) carry(context context.Context, output part.Output) {
+	shard.show(context, output.Applied)
+	for _, message := range output.Urgent {
+		shard.core.post(context, message)
+	}
+	if len(output.Records)+len(output.Held) > 0 {
+		shard.core.journal.Write(output.Records, func() {
+			for _, message := range output.Held {
+				if message.To == shard.core.slot {
+					go shard.receive(context, message)
+					continue
+				}
+				shard.core.post(context, message)
+			}
+		})
+	}
+	shard.settle(output)
+}
+
+func (shard *shard) settle(output part.Output) {
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	for _, result := range output.Results {
+		key := spot{result.Index, result.Round}
+		if waiting, known := shard.waiting[key]; known {
+			waiting <- result.Answer
+			delete(shard.waiting, key)
+		}
+	}
+	if output.Lost {
+		for key, waiting := range shard.waiting {
+			close(waiting)
+			delete(shard.waiting, key)
+		}
+	}
+}
+
+// show publishes what others read: status, right, head and news.
+func (shard *shard) show(context context.Context, applied bool) {
+	member, now := shard.member, shard.Clock.Now()
+	leader, round := member.Leader()
+	commit, current := member.Current()
+	status := &Status{
+		Part: shard.index, Slot: shard.core.slot, Leader: leader, Round: round, Promised: member.Round(),
+		Commit: commit, Sequence: shard.state.Number(), Owner: member.Owns(), Current: current, Recovering: member.Recovering(),
+	}
+	var right *order.Right
+	if holder := member.Holder(); holder != nil && member.Owns() {
+		right = &order.Right{Round: holder.Round, Quiet: holder.Quiet(), Until: holder.Until()}
+		status.GrantLeft = max(right.Until-now, 0)
+		status.QuietLeft = min(max(right.Quiet-now, 0), holder.Lease)
+	}
+	shard.right.Store(right)
+	before := shard.status.Swap(status)
+	if before == nil || before.Leader != leader || before.Owner != status.Owner || before.Recovering != status.Recovering {
+		log.Info().Str("core", shard.core.Machine.Name).Int("part", shard.index).Int("leader", leader).Uint64("round", round).
+			Bool("owner", status.Owner).Bool("recovering", status.Recovering).Msg("part")
+	}
+	if applied && commit > 0 {
+		head := news.Head{Part: shard.index, Index: member.Applied(), Round: member.AppliedRound(), Sequence: status.Sequence}
+		item := news.Item{Head: head, Data: shard.state.Snapshot()}
+		shard.head.Store(&head)
+		go shard.core.gossip.Publish(context, item)
+	}
+}
+
+// propose puts an operation into the log and waits for its result.
+func (shard *shard) propose(context context.Context, draft func() ([]byte, error)) ([]byte, error) {
+	type placed struct {
+		waiting chan []byte
+		failure error
+	}
+	answer := make(chan placed, 1)
+	queued := shard.Put(context, func() {
+		if !shard.member.Owns() {
+			answer <- placed{nil, mishap.New(mishap.NotOwner, "part %d", shard.index)}
+			return
+		}
+		operation, failure := draft()
+		if failure != nil {
+			answer <- placed{nil, failure}
+			return
+		}
+		index, round, _, output := shard.member.Propose(shard.Clock.Now(), operation)
+		waiting := make(chan []byte, 1)
+		shard.lock.Lock()
+		shard.waiting[spot{index, round}] = waiting
+		shard.lock.Unlock()
+		answer <- placed{waiting, nil}
+		shard.carry(context, output)
+	})
+	if !queued {
+		return nil, mishap.New(mishap.NoMajority, "part %d", shard.index)
+	}
+	var found placed
+	select {
+	case found = <-answer:
+	case <-context.Done():
+		return nil, mishap.New(mishap.OutcomeUnknown, "part %d", shard.index)
+	}
+	if found.failure != nil {
+		return nil, found.failure
+	}
+	select {
+	case result, open := <-found.waiting:
+		if open {
+			return result, nil
+		}
+	case <-context.Done():
+	}
+	return nil, mishap.New(mishap.OutcomeUnknown, "part %d", shard.index)
+}
+
+// ask runs a question inside the shard.
+func (shard *shard) ask(context context.Context, question func()) bool {
+	done := make(chan struct{})
+	if !shard.Put(context, func() { question(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-context.Done():
+		return false
+	}
+}
+
+// offer hands a router's copy of the part to a member that recovers.
+func (shard *shard) offer(context context.Context, item news.Item) {
+	shard.Put(context, func() {
+		if shard.member.Recovering() {
+			log.Warn().Str("core", shard.core.Machine.Name).Int("part", shard.index).Uint64("index", item.Index).Msg("copy offered by a router")
+			shard.member.Offer(journal.Entry{Index: item.Index, Round: item.Round, Data: item.Data})
+		}
+	})
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,225 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/contract"
+	"coursepass/internal/hall"
+	"coursepass/internal/mishap"
+	"coursepass/internal/order"
+	"coursepass/internal/schedule"
+)
+
+// Settings of a stand-in engine.
+type Settings struct {
+	Settings string   `long:"settings" description:"settings file (INI); flags go before it" no-ini:"true"`
+	Name     string   `long:"name" description:"name of this engine"`
+	Hall     string   `long:"hall" description:"hall (zone) it stands in"`
+	Service  string   `long:"service" description:"the model service it is for"`
+	Version  string   `long:"version" description:"the model version it carries"`
+	Address  string   `long:"address" description:"IP number and port it serves on"`
+	Cores    []string `long:"core" description:"public address of a core to enrol with; several"`
+	Slots    int      `long:"slots" description:"runs it takes at a time" default:"8"`
+	Read     int      `long:"read-us" description:"microseconds to read one prompt token" default:"20"`
+	Write    int      `long:"write-us" description:"microseconds to make one token" default:"8000"`
+	HandOver int      `long:"handover-us" description:"microseconds to hand prompt memory over" default:"3000"`
+	Keep     int      `long:"keep-ms" description:"milliseconds that prompt memory is held for a ticket" default:"5000"`
+	Lease    int      `long:"lease-ms" description:"the fleet's lease-ms, for the observer" default:"3000"`
+	Level    string   `long:"log-level" description:"lowest level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+}
+
+// Check declines settings that can't work.
+func (settings Settings) Check() error {
+	for name, value := range map[string]string{"name": settings.Name, "hall": settings.Hall, "service": settings.Service, "version": settings.Version} {
+		if value == "" {
+			return mishap.New(mishap.SettingBad, "--%s is needed", name)
+		}
+	}
+	for name, addresses := range map[string][]string{"address": {settings.Address}, "core": settings.Cores} {
+		for _, address := range addresses {
+			if circuit.CheckAddress(address) != nil {
+				return mishap.New(mishap.SettingBad, "--%s: %q is not an IP number with a port", name, address)
+			}
+		}
+	}
+	if len(settings.Cores) == 0 {
+		return mishap.New(mishap.SettingBad, "--core is needed at least once")
+	}
+	for name, value := range map[string]int{"slots": settings.Slots, "read-us": settings.Read, "write-us": settings.Write, "keep-ms": settings.Keep} {
+		if value < 1 || value > 10_000_000 {
+			return mishap.New(mishap.SettingBad, "--%s: %d is out of bounds", name, value)
+		}
+	}
+	return nil
+}
+
+type memory struct {
+	Memory
+	until schedule.Microseconds
+}
+
+// Engine is one life of a stand-in engine.
+type Engine struct {
+	Settings
+	Observer    *Observer
+	incarnation string
+	clock       *schedule.Clock
+	born        schedule.Microseconds
+	client      *http.Client
+	lock        sync.Mutex
+	part        string
+	standing    order.Order
+	draining    bool
+	drainedAt   schedule.Microseconds
+	running     int
+	prefixes    map[string]bool
+	memories    map[string]memory
+	runs        map[string]context.CancelFunc
+	cancelled   map[string]bool
+	lines       []Line
+	prefillBusy atomic.Int64
+	decodeBusy  atomic.Int64
+	completed   atomic.Int64
+}
+
+// New makes an engine. The observer may outlive it.
+func New(settings Settings, observer *Observer) (*Engine, error) {
+	if failure := settings.Check(); failure != nil {
+		return nil, failure
+	}
+	clock := schedule.NewClock()
+	return &Engine{
+		Settings: settings, Observer: observer, incarnation: rand.Text(), clock: clock, born: clock.Now(),
+		client: &http.Client{Transport: circuit.NewTransport(circuit.Options{Meter: hall.NewMeter(settings.Hall)})},
+		part:   contract.Both, prefixes: map[string]bool{}, memories: map[string]memory{},
+		runs: map[string]context.CancelFunc{}, cancelled: map[string]bool{},
+	}, nil
+}
+
+// Run serves until the context ends, and then finishes its runs within the grace.
+func (engine *Engine) Run(parent context.Context, listener net.Listener) error {
+	enrolling, stop := context.WithCancel(parent)
+	defer stop()
+	go engine.enrol(enrolling)
+	log.Info().Str("engine", engine.Name).Str("incarnation", engine.incarnation).Msg("engine runs")
+	go func() {
+		<-parent.Done()
+		engine.lock.Lock()
+		engine.draining = true
+		engine.lock.Unlock()
+	}()
+	return circuit.Serve(parent, listener, engine.routes(), 8*schedule.Second)
+}
+
+func (engine *Engine) routes() http.Handler {
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, "live") })
+	routes.HandleFunc("GET "+ReportPath, func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, engine.report()) })
+	routes.HandleFunc("GET "+LedgerPath, func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, engine.ledger()) })
+	routes.HandleFunc("POST "+OrderPath, engine.takeOrder)
+	routes.HandleFunc("POST "+PrefillPath, engine.prefill)
+	routes.HandleFunc("POST "+DecodePath, engine.decode)
+	routes.HandleFunc("POST "+HandOverPath, engine.handOver)
+	routes.HandleFunc("POST "+CancelPath, engine.cancel)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		engine.lock.Lock()
+		writer.Header().Set(LoadHeader, strconv.Itoa(engine.running+1))
+		engine.lock.Unlock()
+		routes.ServeHTTP(writer, request)
+	})
+}
+
+// enrol tells the cores of this life until one of them has it in the list.
+func (engine *Engine) enrol(context context.Context) {
+	body, _ := json.Marshal(catalogue.Engine{
+		Name: engine.Name, Service: engine.Service, Hall: engine.Hall, Address: engine.Address, Incarnation: engine.incarnation,
+	})
+	for turn := 0; ; turn++ {
+		request, _ := http.NewRequestWithContext(context, http.MethodPost, "http://"+engine.Cores[turn%len(engine.Cores)]+"/v1/engines", bytes.NewReader(body))
+		answer, failure := engine.client.Do(request)
+		if failure == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				log.Info().Str("engine", engine.Name).Msg("engine is in the list")
+				return
+			}
+		}
+		select {
+		case <-context.Done():
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+func (engine *Engine) report() catalogue.Report {
+	engine.lock.Lock()
+	defer engine.lock.Unlock()
+	report := catalogue.Report{
+		Name: engine.Name, Service: engine.Service, Hall: engine.Hall, Address: engine.Address, Incarnation: engine.incarnation,
+		Version: engine.Version, Part: engine.part, Running: engine.running, Capacity: engine.Slots,
+		PrefillBusy: schedule.Microseconds(engine.prefillBusy.Load()), DecodeBusy: schedule.Microseconds(engine.decodeBusy.Load()),
+		Age: engine.clock.Now() - engine.born, Completed: engine.completed.Load(), Tickets: len(engine.memories),
+		Draining: engine.draining, Round: engine.Observer.Round(), OrderSequence: engine.standing.Sequence,
+		OrderViolations: int64(len(engine.Observer.Violations())),
+	}
+	for prefix := range engine.prefixes {
+		report.Prefixes = append(report.Prefixes, prefix)
+	}
+	return report
+}
+
+func (engine *Engine) ledger() Ledger {
+	engine.lock.Lock()
+	defer engine.lock.Unlock()
+	return Ledger{Lines: append([]Line(nil), engine.lines...), Violations: engine.Observer.Violations()}
+}
+
+func (engine *Engine) takeOrder(writer http.ResponseWriter, request *http.Request) {
+	var given order.Order
+	if failure := circuit.ReadJSON(writer, request, 1<<20, &given); failure != nil {
+		circuit.WriteDecline(writer, failure, "", 0)
+		return
+	}
+	engine.lock.Lock()
+	engine.Observer.Order(engine.clock.Now(), given)
+	if given.Drain && !engine.standing.Drain {
+		engine.drainedAt = engine.clock.Now()
+	}
+	engine.standing, engine.part = given, given.Part
+	engine.lock.Unlock()
+	circuit.WriteJSON(writer, 200, engine.report())
+}
+
+func (engine *Engine) cancel(writer http.ResponseWriter, request *http.Request) {
+	var ask CancelAsk
+	if failure := circuit.ReadJSON(writer, request, 4096, &ask); failure != nil {
+		circuit.WriteDecline(writer, failure, "", 0)
+		return
+	}
+	engine.lock.Lock()
+	if stop, known := engine.runs[ask.Run]; known {
+		stop()
+	}
+	engine.cancelled[ask.Run] = true
+	for name, held := range engine.memories {
+		if held.Run == ask.Run {
+			delete(engine.memories, name)
+		}
+	}
+	engine.lock.Unlock()
+	circuit.WriteJSON(writer, 200, ask)
+}
--- /dev/null
+++ b/internal/engine/wire.go
@@ -0,0 +1,90 @@
+// Package engine is the stand-in engine: it takes the time of reading prompts and
+// making tokens, hands prompt memory over, and watches what it is asked to do.
+package engine
+
+import "coursepass/internal/schedule"
+
+// Paths of an engine, HTTP/1.1 with JSON.
+const (
+	ReportPath   = "/report"
+	OrderPath    = "/order"
+	PrefillPath  = "/prefill"
+	DecodePath   = "/decode"
+	HandOverPath = "/handover"
+	CancelPath   = "/cancel"
+	LedgerPath   = "/ledger"
+)
+
+// LoadHeader tells how many runs the engine has, on each of its answers.
+const LoadHeader = "Engine-Running"
+
+// PrefillAsk has an engine read a prompt.
+type PrefillAsk struct {
+	Run          string                `json:"run"`
+	Key          string                `json:"key"`
+	Service      string                `json:"service"`
+	Version      string                `json:"version"`
+	Prefix       string                `json:"prefix"`
+	PrefixTokens int                   `json:"prefixTokens"`
+	Prompt       string                `json:"prompt"`
+	Budget       schedule.Microseconds `json:"budgetMicroseconds"`
+}
+
+// Ticket names prompt memory: random, bound to run, engine life and digest.
+type Ticket struct {
+	Run         string `json:"run"`
+	Ticket      string `json:"ticket"`
+	Incarnation string `json:"incarnation"`
+	Digest      string `json:"digest"`
+	Version     string `json:"version"`
+}
+
+// DecodeAsk has an engine make tokens from the prompt memory of a ticket.
+type DecodeAsk struct {
+	Ticket
+	Key     string                `json:"key"`
+	Service string                `json:"service"`
+	Source  string                `json:"source"`
+	Tokens  int                   `json:"tokens"`
+	Budget  schedule.Microseconds `json:"budgetMicroseconds"`
+}
+
+// Frame is one line of a decode's answer. The first echoes the ticket, the last
+// has Final and the count.
+type Frame struct {
+	Ticket *Ticket `json:"ticket,omitempty"`
+	Run    string  `json:"run"`
+	Number int     `json:"number,omitempty"`
+	Text   string  `json:"text,omitempty"`
+	Final  bool    `json:"final,omitempty"`
+	Count  int     `json:"count,omitempty"`
+	Code   int     `json:"code,omitempty"`
+}
+
+// HandOverAsk is what a decode engine asks of a prefill engine.
+type HandOverAsk struct{ Ticket }
+
+// Memory is the prompt memory that is handed over.
+type Memory struct {
+	Ticket
+	Content string `json:"content"`
+}
+
+// CancelAsk ends a run by name.
+type CancelAsk struct {
+	Run string `json:"run"`
+}
+
+// Line is what the engine's own book says of one run.
+type Line struct {
+	Key      string `json:"key"`
+	Run      string `json:"run"`
+	Stage    string `json:"stage"`
+	Finished bool   `json:"finished"`
+}
+
+// Ledger is the engine's book: all runs begun in this life, and violations seen.
+type Ledger struct {
+	Lines      []Line   `json:"lines"`
+	Violations []string `json:"violations"`
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,210 @@
+// Package fleet brings up a whole fleet on loopback in one process.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/core"
+	"coursepass/internal/engine"
+	"coursepass/internal/mishap"
+	"coursepass/internal/operator"
+	"coursepass/internal/router"
+	"coursepass/internal/schedule"
+	"coursepass/internal/setting"
+)
+
+// Settings of a fleet.
+type Settings struct {
+	setting.Lengths
+	Cores         int      `long:"cores" description:"number of cores" default:"3"`
+	Routers       int      `long:"routers" description:"number of routers" default:"4"`
+	Engines       int      `long:"engines" description:"number of stand-in engines" default:"12"`
+	Halls         []string `long:"hall" description:"names of the halls" default:"norte" default:"centro" default:"sur"`
+	Service       string   `long:"service" description:"the model service" default:"reservas"`
+	Version       string   `long:"version" description:"the model version" default:"r1"`
+	Data          string   `long:"data" description:"folder for the cores' data; a new one under the system's folder for temporary files if not given"`
+	Configuration string   `long:"configuration" description:"CUE document to apply once the fleet leads" default:"examples/asociacion.cue"`
+	Seconds       int      `long:"seconds" description:"stop after so many seconds; 0 runs until interrupted" default:"0"`
+}
+
+// Check declines settings that can't work.
+func (settings Settings) Check() error {
+	for name, count := range map[string]int{"cores": settings.Cores, "routers": settings.Routers, "engines": settings.Engines} {
+		if count < 1 || count > 64 {
+			return mishap.New(mishap.SettingBad, "--%s: %d is not between 1 and 64", name, count)
+		}
+	}
+	if settings.Cores%2 == 0 || settings.Cores > 7 {
+		return mishap.New(mishap.SettingBad, "--cores: %d is not an odd number up to 7", settings.Cores)
+	}
+	if len(settings.Halls) == 0 {
+		return mishap.New(mishap.SettingBad, "--hall is needed at least once")
+	}
+	return settings.Lengths.Check()
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Settings
+	CoreAddresses   []string
+	RouterAddresses []string
+	seeds           []string
+	cores           []core.Listeners
+	group           sync.WaitGroup
+	failures        chan error
+}
+
+// New opens all sockets, on ports that the system gives.
+func New(settings Settings) (*Fleet, error) {
+	if failure := settings.Check(); failure != nil {
+		return nil, failure
+	}
+	fleet := &Fleet{Settings: settings, failures: make(chan error, settings.Cores+settings.Routers+settings.Engines)}
+	for range settings.Cores {
+		listeners, failure := open()
+		if failure != nil {
+			return nil, failure
+		}
+		fleet.cores = append(fleet.cores, listeners)
+		fleet.seeds = append(fleet.seeds, listeners.Inner.Addr().String())
+		fleet.CoreAddresses = append(fleet.CoreAddresses, listeners.Public.Addr().String())
+	}
+	return fleet, nil
+}
+
+func open() (core.Listeners, error) {
+	inner, failure := circuit.Listen("127.0.0.1:0")
+	if failure != nil {
+		return core.Listeners{}, failure
+	}
+	public, failure := circuit.Listen("127.0.0.1:0")
+	return core.Listeners{Inner: inner, Public: public}, failure
+}
+
+func (fleet *Fleet) place(role string, number int, listeners core.Listeners) (setting.Place, setting.Inner) {
+	return setting.Place{
+		Name: fmt.Sprintf("%s-%d", role, number), Hall: fleet.Halls[number%len(fleet.Halls)], Fleet: "coursepass",
+		Public: listeners.Public.Addr().String(), Seeds: fleet.seeds,
+	}, setting.Inner{Inner: listeners.Inner.Addr().String(), Parts: 2}
+}
+
+func (fleet *Fleet) launch(run func() error) {
+	fleet.group.Go(func() {
+		if failure := run(); failure != nil {
+			fleet.failures <- failure
+		}
+	})
+}
+
+// Run brings the fleet up and serves until the context ends.
+func (fleet *Fleet) Run(parent context.Context) error {
+	running, stop := context.WithCancel(parent)
+	defer stop()
+	data := fleet.Data
+	if data == "" {
+		folder, failure := os.MkdirTemp("", "coursepass-fleet-")
+		if failure != nil {
+			return mishap.Wrap(failure, mishap.StartFailed, "data folder")
+		}
+		defer os.RemoveAll(folder)
+		data = folder
+	}
+	for number, listeners := range fleet.cores {
+		place, inner := fleet.place("core", number, listeners)
+		each, failure := core.New(core.Settings{
+			Place: place, Inner: inner, Lengths: fleet.Lengths, Rewrite: 16, Found: true,
+			Data: filepath.Join(data, place.Name),
+		}, setting.Incarnation())
+		if failure != nil {
+			return failure
+		}
+		fleet.launch(func() error { return each.Run(running, listeners) })
+	}
+	for number := range fleet.Routers {
+		if failure := fleet.startRouter(running, number); failure != nil {
+			return failure
+		}
+	}
+	for number := range fleet.Engines {
+		if failure := fleet.startEngine(running, number); failure != nil {
+			return failure
+		}
+	}
+	fleet.show()
+	go fleet.configure()
+	select {
+	case failure := <-fleet.failures:
+		return failure
+	case <-parent.Done():
+	}
+	stop()
+	fleet.group.Wait()
+	return nil
+}
+
+func (fleet *Fleet) startRouter(running context.Context, number int) error {
+	listeners, failure := open()
+	if failure != nil {
+		return failure
+	}
+	place, inner := fleet.place("router", number, listeners)
+	each, failure := router.New(router.Settings{Place: place, Inner: inner, Grace: 2000, Fresh: 1600}, setting.Incarnation())
+	if failure != nil {
+		return failure
+	}
+	fleet.RouterAddresses = append(fleet.RouterAddresses, place.Public)
+	fleet.launch(func() error { return each.Run(running, listeners) })
+	return nil
+}
+
+func (fleet *Fleet) startEngine(running context.Context, number int) error {
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.AddressTaken, "engine")
+	}
+	settings := engine.Settings{
+		Name: fmt.Sprintf("engine-%d", number), Hall: fleet.Halls[number%len(fleet.Halls)], Service: fleet.Service, Version: fleet.Version,
+		Address: listener.Addr().String(), Cores: fleet.CoreAddresses, Slots: 8, Read: 20, Write: 8000, HandOver: 3000, Keep: 5000, Lease: fleet.Lease,
+	}
+	each, failure := engine.New(settings, engine.NewObserver(fleet.LeaseSpan()))
+	if failure != nil {
+		return failure
+	}
+	fleet.launch(func() error { return each.Run(running, listener) })
+	return nil
+}
+
+func (fleet *Fleet) show() {
+	for _, address := range fleet.CoreAddresses {
+		fmt.Printf("--core %s ", address)
+	}
+	for _, address := range fleet.RouterAddresses {
+		fmt.Printf("--router %s ", address)
+	}
+	fmt.Println()
+}
+
+func (fleet *Fleet) configure() {
+	if fleet.Configuration == "" {
+		return
+	}
+	apply := &operator.Apply{Change: operator.Change{Target: operator.Target{Cores: fleet.CoreAddresses}, Expect: 0, Key: "fleet-start"}}
+	apply.Arguments.File = fleet.Configuration
+	begun := schedule.NewClock()
+	for begun.Now() < 30*schedule.Second {
+		failure := apply.Run()
+		if failure == nil {
+			return
+		}
+		if code := mishap.CodeOf(failure, mishap.OutcomeUnknown); code != mishap.NotOwner && code != mishap.NoMajority && code != mishap.CircuitLost {
+			fmt.Println(mishap.Text(failure))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/mishap/mishap.go
@@ -0,0 +1,59 @@
+package mishap
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Mishap is an error with a numbered code and the place where it came up.
+type Mishap struct {
+	Code  Code
+	Place string
+	cause error
+}
+
+// Error reads as number, name, place and cause.
+func (mishap *Mishap) Error() string {
+	if mishap.cause == nil {
+		return fmt.Sprintf("%d %s: %s", mishap.Code, mishap.Code, mishap.Place)
+	}
+	return fmt.Sprintf("%d %s: %s: %v", mishap.Code, mishap.Code, mishap.Place, mishap.cause)
+}
+
+// Unwrap gives the cause.
+func (mishap *Mishap) Unwrap() error { return mishap.cause }
+
+// Wrap names an error: its code and the place. A nil cause stays nil.
+func Wrap(cause error, code Code, place string) error {
+	if cause == nil {
+		return nil
+	}
+	return errors.WithStackDepth(&Mishap{Code: code, Place: place, cause: cause}, 1)
+}
+
+// New makes a named error of its own.
+func New(code Code, format string, values ...any) error {
+	return errors.WithStackDepth(&Mishap{Code: code, Place: fmt.Sprintf(format, values...)}, 1)
+}
+
+// CodeOf finds the code in an error; other receives errors that carry none.
+func CodeOf(failure error, other Code) Code {
+	if failure == nil {
+		return Fine
+	}
+	var named *Mishap
+	if errors.As(failure, &named) {
+		return named.Code
+	}
+	return other
+}
+
+// Text is the message without the stack.
+func Text(failure error) string {
+	var named *Mishap
+	if errors.As(failure, &named) {
+		return named.Error()
+	}
+	return failure.Error()
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,273 @@
+// Package operator is the operators' side of the command line: it asks cores over
+// HTTP/1.1 with JSON.
+package operator
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/configuration"
+	"coursepass/internal/core"
+	"coursepass/internal/mishap"
+)
+
+// Target says which cores to ask.
+type Target struct {
+	Cores []string `long:"core" description:"public address of a core; several are tried in turn" required:"true"`
+}
+
+var client = &http.Client{Timeout: 6 * time.Second}
+
+// ask goes from core to core until one answers. A request that changes something
+// goes on to the next only if it can't have been taken.
+func (target Target) ask(method, path string, body any) ([]byte, error) {
+	text, failure := json.Marshal(body)
+	if failure != nil {
+		return nil, mishap.Wrap(failure, mishap.Malformed, path)
+	}
+	last := mishap.New(mishap.SettingBad, "--core is needed at least once")
+	for turn := range 3 * len(target.Cores) {
+		if turn >= len(target.Cores) {
+			time.Sleep(time.Second)
+		}
+		address := target.Cores[turn%len(target.Cores)]
+		if failure := circuit.CheckAddress(address); failure != nil {
+			return nil, failure
+		}
+		found, again, failure := try(method, address, path, text)
+		if failure == nil {
+			return found, nil
+		}
+		if last = failure; !again {
+			break
+		}
+	}
+	return nil, last
+}
+
+func try(method, address, path string, text []byte) (found []byte, again bool, failure error) {
+	request, failure := http.NewRequest(method, "http://"+address+path, bytes.NewReader(text))
+	if failure != nil {
+		return nil, false, mishap.Wrap(failure, mishap.SettingBad, address)
+	}
+	request.GetBody = nil
+	answer, failure := client.Do(request)
+	if failure != nil {
+		code := mishap.OutcomeUnknown
+		if again = errors.Is(failure, syscall.ECONNREFUSED) || method == http.MethodGet; again {
+			code = mishap.CircuitLost
+		}
+		return nil, again, mishap.Wrap(failure, code, address)
+	}
+	defer answer.Body.Close()
+	found, failure = io.ReadAll(io.LimitReader(answer.Body, 64<<20))
+	if failure != nil {
+		return nil, false, mishap.Wrap(failure, mishap.OutcomeUnknown, address)
+	}
+	if answer.StatusCode == http.StatusOK {
+		return found, false, nil
+	}
+	var told circuit.Decline
+	if json.Unmarshal(found, &told) != nil {
+		return nil, false, mishap.New(mishap.Garbage, "%s answered %d", address, answer.StatusCode)
+	}
+	return nil, told.Code == mishap.NotOwner || told.Code == mishap.NoMajority, mishap.New(told.Code, "%s", told.Text)
+}
+
+func (target Target) get(path string, into any) error {
+	found, failure := target.ask(http.MethodGet, path, nil)
+	if failure != nil {
+		return failure
+	}
+	return mishap.Wrap(json.Unmarshal(found, into), mishap.Garbage, path)
+}
+
+// Change is what all changing verbs share.
+type Change struct {
+	Target
+	Expect int64  `long:"expect" description:"sequence it builds on; -1 asks for the one in force first" default:"-1"`
+	Key    string `long:"key" description:"operation key, to ask later what became of it; made up if not given"`
+}
+
+func (change Change) operate(request configuration.Request) error {
+	request.Key = change.Key
+	if request.Key == "" {
+		request.Key = rand.Text()
+	}
+	request.Expected = uint64(change.Expect)
+	if change.Expect < 0 {
+		var shown core.Shown
+		if failure := change.get("/v1/configuration", &shown); failure != nil {
+			return failure
+		}
+		request.Expected = shown.Sequence
+	}
+	found, failure := change.ask(http.MethodPost, "/v1/operations", request)
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.CodeOf(failure, mishap.OutcomeUnknown), "operation key "+request.Key)
+	}
+	var outcome configuration.Outcome
+	if failure := json.Unmarshal(found, &outcome); failure != nil {
+		return mishap.Wrap(failure, mishap.OutcomeUnknown, "operation key "+request.Key)
+	}
+	fmt.Printf("in force as sequence %d (operation key %s)\n", outcome.Sequence, request.Key)
+	return nil
+}
+
+// Apply puts a whole document in force.
+type Apply struct {
+	Change
+	Arguments struct {
+		File string `positional-arg-name:"file" description:"configuration in CUE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run sends the document.
+func (apply *Apply) Run() error {
+	text, failure := os.ReadFile(apply.Arguments.File)
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.SettingBad, "file")
+	}
+	if _, failure := configuration.Expand(string(text), nil); failure != nil {
+		return failure
+	}
+	return apply.operate(configuration.Request{Kind: configuration.Whole, Document: string(text)})
+}
+
+// Small changes parameters.
+type Small struct {
+	Change
+	Arguments struct {
+		Pairs []string `positional-arg-name:"parameter=value" description:"parameter and its value in JSON" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run sends the parameters.
+func (small *Small) Run() error {
+	changes := map[string]string{}
+	for _, pair := range small.Arguments.Pairs {
+		name, value, split := strings.Cut(pair, "=")
+		if !split || name == "" || !json.Valid([]byte(value)) {
+			return mishap.New(mishap.SettingBad, "%q is not parameter=value with a JSON value", pair)
+		}
+		changes[name] = value
+	}
+	return small.operate(configuration.Request{Kind: configuration.Small, Changes: changes})
+}
+
+// Evacuate takes all new work out of a hall, or lets it back.
+type Evacuate struct {
+	Change
+	Back      bool `long:"back" description:"let the hall have work again"`
+	Arguments struct {
+		Hall string `positional-arg-name:"hall"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run sends the hall.
+func (evacuate *Evacuate) Run() error {
+	kind := configuration.Evacuate
+	if evacuate.Back {
+		kind = configuration.Return
+	}
+	return evacuate.operate(configuration.Request{Kind: kind, Hall: evacuate.Arguments.Hall})
+}
+
+// List lists a service's engines.
+type List struct {
+	Target
+	Arguments struct {
+		Service string `positional-arg-name:"service"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run prints one line an engine.
+func (list *List) Run() error {
+	var listed []core.Listed
+	if failure := list.get("/v1/services/"+list.Arguments.Service+"/engines", &listed); failure != nil {
+		return failure
+	}
+	fmt.Printf("%-16s %-12s %-22s %-8s %-5s %s\n", "engine", "hall", "address", "part", "live", "leaving")
+	for _, each := range listed {
+		fmt.Printf("%-16s %-12s %-22s %-8s %-5t %t\n", each.Name, each.Hall, each.Address, each.Part, each.Live, each.Leaving)
+	}
+	return nil
+}
+
+// Leave marks an engine as leaving.
+type Leave struct {
+	Target
+	Arguments struct {
+		Service string `positional-arg-name:"service"`
+		Engine  string `positional-arg-name:"engine"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run marks the engine.
+func (leave *Leave) Run() error {
+	_, failure := leave.ask(http.MethodPost, "/v1/services/"+leave.Arguments.Service+"/engines/"+leave.Arguments.Engine+"/leave", nil)
+	if failure == nil {
+		fmt.Println("listed as leaving")
+	}
+	return failure
+}
+
+// Show prints what is in force, or what became of an operation.
+type Show struct {
+	Target
+	Operation string `long:"operation" description:"operation key to ask about"`
+}
+
+// Run prints the answer as JSON.
+func (show *Show) Run() error {
+	path := "/v1/configuration"
+	if show.Operation != "" {
+		path = "/v1/operations/" + show.Operation
+	}
+	found, failure := show.ask(http.MethodGet, path, nil)
+	if failure != nil {
+		return failure
+	}
+	var pretty bytes.Buffer
+	if json.Indent(&pretty, found, "", "  ") == nil {
+		found = pretty.Bytes()
+	}
+	_, failure = os.Stdout.Write(found)
+	return mishap.Wrap(failure, mishap.StartFailed, "print")
+}
+
+// Status prints what each core says of itself.
+type Status struct{ Target }
+
+// Run asks every core by itself.
+func (status *Status) Run() error {
+	reached := 0
+	for _, address := range status.Cores {
+		var overview core.Overview
+		alone := Target{Cores: []string{address}}
+		if failure := alone.get("/v1/status", &overview); failure != nil {
+			fmt.Printf("%s: %s\n", address, mishap.Text(failure))
+			continue
+		}
+		reached++
+		fmt.Printf("%s  %s  hall %s  slot %d\n", address, overview.Name, overview.Hall, overview.Slot)
+		for _, part := range overview.Parts {
+			fmt.Printf("  part %d  leader %d  round %d  owner %t  current %t  recovering %t  commit %d  sequence %d  grant left %d ms\n",
+				part.Part, part.Leader, part.Round, part.Owner, part.Current, part.Recovering, part.Commit, part.Sequence, part.GrantLeft/1000)
+		}
+	}
+	if reached == 0 {
+		return mishap.New(mishap.CircuitLost, "no core answered")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,162 @@
+// Package order carries the leader's orders to engines, which neither check nor
+// remember rounds: one order in flight per engine, each wholly inside a grant.
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/hall"
+	"coursepass/internal/mishap"
+	"coursepass/internal/schedule"
+)
+
+// Partner is an engine to hand prompt memory to.
+type Partner struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Standing is what an engine is to do until told otherwise.
+type Standing struct {
+	Part     string    `json:"part"`
+	Drain    bool      `json:"drain"`
+	Partners []Partner `json:"partners"`
+}
+
+// Order is a standing order under a leader's round.
+type Order struct {
+	Standing
+	Service  string `json:"service"`
+	Round    uint64 `json:"round"`
+	Sequence uint64 `json:"sequence"`
+	Holder   string `json:"holder"`
+}
+
+// Right is a leader's right to give orders, as the guard reads it.
+type Right struct {
+	Round uint64
+	Quiet schedule.Microseconds
+	Until schedule.Microseconds
+}
+
+// Covers tells whether an order begun now and done within the budget lies inside
+// the right.
+func (right *Right) Covers(now, budget schedule.Microseconds) bool {
+	return right != nil && now >= right.Quiet && now+budget < right.Until
+}
+
+// Counters are the desk's counters.
+type Counters struct {
+	Sent    atomic.Int64
+	Held    atomic.Int64
+	Acked   atomic.Int64
+	Mishaps atomic.Int64
+}
+
+type last struct {
+	Order
+	text        string
+	incarnation string
+	acked       bool
+	busy        bool
+}
+
+// Desk gives the orders of one part.
+type Desk struct {
+	Counters
+	Holder string
+	Budget schedule.Microseconds
+	clock  *schedule.Clock
+	right  *atomic.Pointer[Right]
+	client *http.Client
+	lock   sync.Mutex
+	given  map[string]*last
+	count  uint64
+}
+
+// NewDesk makes the desk of a holder. Each write to the kernel asks the guard,
+// and the kernel gives up a circuit within half the budget.
+func NewDesk(holder string, budget schedule.Microseconds, clock *schedule.Clock, right *atomic.Pointer[Right], meter *hall.Meter) *Desk {
+	desk := &Desk{Holder: holder, Budget: budget, clock: clock, right: right, given: map[string]*last{}}
+	desk.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{
+		Meter: meter, Guard: desk.guard, Silence: budget / 2, Single: true,
+	})}
+	return desk
+}
+
+func (desk *Desk) guard() error {
+	if desk.right.Load().Covers(desk.clock.Now(), desk.Budget) {
+		return nil
+	}
+	desk.Held.Add(1)
+	return mishap.New(mishap.GrantSpent, "write to an engine")
+}
+
+// Give makes sure that an engine has its standing order under this right. It
+// returns at once; the engine's own report must have been answered lately.
+func (desk *Desk) Give(parent context.Context, right *Right, report catalogue.Report, standing Standing) {
+	if !right.Covers(desk.clock.Now(), desk.Budget) {
+		return
+	}
+	text, _ := json.Marshal(standing)
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	given, known := desk.given[report.Name]
+	if known && (given.busy || given.acked && given.text == string(text) && given.Round == right.Round && given.incarnation == report.Incarnation) {
+		return
+	}
+	desk.count++
+	given = &last{
+		Order:       Order{Standing: standing, Service: report.Service, Round: right.Round, Sequence: desk.count, Holder: desk.Holder},
+		text:        string(text),
+		incarnation: report.Incarnation,
+		busy:        true,
+	}
+	desk.given[report.Name] = given
+	go desk.send(parent, given, report.Address)
+}
+
+func (desk *Desk) send(parent context.Context, given *last, address string) {
+	bounded, cancel := context.WithTimeout(parent, (desk.Budget / 2).Duration())
+	defer cancel()
+	failure := desk.post(bounded, given.Order, address)
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	given.busy, given.acked = false, failure == nil
+	if failure != nil {
+		desk.Mishaps.Add(1)
+		return
+	}
+	desk.Acked.Add(1)
+}
+
+func (desk *Desk) post(bounded context.Context, order Order, address string) error {
+	body, _ := json.Marshal(order)
+	request, failure := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+address+"/order", bytes.NewReader(body))
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.Garbage, address)
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	desk.Sent.Add(1)
+	answer, failure := desk.client.Do(request)
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	}
+	defer answer.Body.Close()
+	if _, failure := io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10)); failure != nil {
+		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return mishap.New(mishap.CircuitLost, "%s answered %d", address, answer.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/part/accepting.go
@@ -0,0 +1,65 @@
+package part
+
+import (
+	"coursepass/internal/journal"
+	"coursepass/internal/schedule"
+)
+
+func (member *Member) raise(round uint64) {
+	if round > member.Promised {
+		member.Promised = round
+		member.record(journal.Record{Kind: journal.Promise, Part: member.Part, Entry: journal.Entry{Round: round}})
+	}
+}
+
+func (member *Member) promise(message Message) {
+	if member.recovery != nil {
+		return
+	}
+	answer := Message{To: message.From, Kind: Promise, Round: message.Round, Promised: member.Promised}
+	if message.Round >= member.Promised {
+		member.raise(message.Round)
+		answer.Accepted, answer.Promised, answer.Commit = true, member.Promised, member.commit
+		answer.Index, answer.IndexRound = member.Last()
+		if message.Index < member.Base.Index {
+			answer.Base = member.Base
+		}
+		answer.Entries = member.after(message.Index)
+	}
+	member.hold(answer)
+}
+
+func (member *Member) append(now schedule.Microseconds, message Message) {
+	if member.recovery != nil {
+		return
+	}
+	answer := Message{
+		To: message.From, Kind: Appended, Round: message.Round, Asked: message.Asked, Promised: member.Promised,
+	}
+	if message.Round < member.Promised {
+		member.hold(answer)
+		return
+	}
+	member.raise(message.Round)
+	answer.Promised = member.Promised
+	if message.Base.Index > member.applied {
+		member.install(message.Base)
+	}
+	if !member.matches(message.Index, message.IndexRound) {
+		last, _ := member.Last()
+		answer.Index = min(last, message.Index-1, max(member.commit, member.Base.Index))
+		member.hold(answer)
+		return
+	}
+	member.record(member.merge(member.Part, message.Entries)...)
+	answer.Accepted, answer.Index = true, message.Index+uint64(len(message.Entries))
+	if message.From != member.Self {
+		member.advance(min(message.Commit, answer.Index))
+		if message.Established && member.commit >= message.Commit {
+			member.current = true
+		}
+	}
+	answer.Commit = member.commit
+	answer.Granted = member.voter.Give(now, message.Round)
+	member.hold(answer)
+}
--- /dev/null
+++ b/internal/part/leading.go
@@ -0,0 +1,203 @@
+package part
+
+import (
+	"coursepass/internal/grant"
+	"coursepass/internal/journal"
+	"coursepass/internal/schedule"
+)
+
+const piece = 64
+
+func (member *Member) prepare(now schedule.Microseconds, round uint64) {
+	member.stage, member.mine, member.heartbeat = preparing, round, now
+	member.promises = map[int]Message{}
+	for slot := range member.Slots {
+		message := Message{To: slot, Kind: Prepare, Round: round, Index: member.commit}
+		if slot != member.Self {
+			message.Part, message.From = member.Part, member.Self
+			member.output.Urgent = append(member.output.Urgent, message)
+			continue
+		}
+		message.From = member.Self
+		member.promise(message)
+	}
+}
+
+func (member *Member) promised(now schedule.Microseconds, message Message) {
+	if message.Promised > max(message.Round, member.Promised) {
+		member.overtaken(now, message.From, message.Promised)
+	}
+	if member.stage != preparing || message.Round != member.mine || !message.Accepted {
+		return
+	}
+	member.promises[message.From] = message
+	if _, own := member.promises[member.Self]; !own || len(member.promises) < member.majority() {
+		return
+	}
+	best := message
+	for _, other := range member.promises {
+		if other.IndexRound > best.IndexRound || other.IndexRound == best.IndexRound && other.Index > best.Index {
+			best = other
+		}
+	}
+	if best.From != member.Self {
+		member.adopt(best)
+	}
+	member.lead(now)
+}
+
+// adopt takes over the log of the slot that is furthest among a majority.
+func (member *Member) adopt(best Message) {
+	if best.Base.Index > member.applied {
+		member.install(best.Base)
+	}
+	member.record(member.merge(member.Part, best.Entries)...)
+	if last, _ := member.Last(); last > best.Index {
+		member.Entries = member.Entries[:best.Index-member.Base.Index]
+	}
+}
+
+func (member *Member) install(base journal.Entry) {
+	member.record(member.rebase(member.Part, base))
+	member.state.Restore(base.Data)
+	member.applied = base.Index
+	member.output.Applied = true
+}
+
+func (member *Member) lead(now schedule.Microseconds) {
+	member.stage, member.promises = leading, nil
+	member.holder = grant.NewHolder(member.Terms, member.mine, member.Slots)
+	member.others = make([]follower, member.Slots)
+	member.answers = nil
+	last, _ := member.Last()
+	member.first, member.settled = last+1, member.commit
+	for slot := range member.others {
+		member.others[slot].next = last + 1
+	}
+	member.write(nil)
+	member.replicate(now)
+}
+
+func (member *Member) write(data []byte) uint64 {
+	last, _ := member.Last()
+	entry := journal.Entry{Index: last + 1, Round: member.mine, Data: data}
+	member.record(member.merge(member.Part, []journal.Entry{entry})...)
+	return entry.Index
+}
+
+// Propose puts an operation into the log; false where this member does not own
+// the part. Its result comes with the same index and round, or Lost does.
+func (member *Member) Propose(now schedule.Microseconds, operation []byte) (index, round uint64, accepted bool, output Output) {
+	if !member.Owns() {
+		return 0, 0, false, Output{}
+	}
+	index = member.write(operation)
+	member.replicate(now)
+	return index, member.mine, true, member.take()
+}
+
+// replicate sends what a follower lacks, and at each third of a lease a heartbeat
+// that also asks for the grant.
+func (member *Member) replicate(now schedule.Microseconds) {
+	last, _ := member.Last()
+	for slot := range member.others {
+		other := &member.others[slot]
+		due := now-other.sent >= member.Lease/3 || other.knows < member.commit && !other.waiting
+		switch {
+		case other.waiting && now-other.sent < member.Delta:
+			continue
+		case other.waiting:
+			other.next = other.matched + 1
+		case other.next > last && !due:
+			continue
+		}
+		member.send(now, slot)
+	}
+}
+
+func (member *Member) send(now schedule.Microseconds, slot int) {
+	other := &member.others[slot]
+	message := Message{
+		To: slot, Kind: Append, Round: member.mine, Commit: member.commit,
+		Established: member.established(), Asked: now,
+	}
+	if other.next <= member.Base.Index {
+		message.Base = member.Base
+		other.next = member.Base.Index + 1
+	}
+	message.Index = other.next - 1
+	message.IndexRound = member.Base.Round
+	if entry, held := member.at(message.Index); held {
+		message.IndexRound = entry.Round
+	}
+	entries := member.after(message.Index)
+	message.Entries = entries[:min(len(entries), piece)]
+	other.next += uint64(len(message.Entries))
+	other.sent, other.waiting = now, true
+	if slot == member.Self {
+		message.Part, message.From = member.Part, member.Self
+		member.append(now, message)
+		return
+	}
+	message.Part, message.From = member.Part, member.Self
+	member.output.Urgent = append(member.output.Urgent, message)
+}
+
+func (member *Member) appended(now schedule.Microseconds, message Message) {
+	if message.Promised > max(message.Round, member.Promised) {
+		member.overtaken(now, message.From, message.Promised)
+	}
+	if member.stage != leading || message.Round != member.mine {
+		return
+	}
+	other := &member.others[message.From]
+	if message.Granted {
+		member.holder.Gain(now, message.From, message.Asked)
+	}
+	if message.Asked == other.sent {
+		other.waiting = false
+	}
+	if !message.Accepted {
+		other.next = min(other.next, message.Index+1)
+		return
+	}
+	other.matched = max(other.matched, message.Index)
+	other.next = max(other.next, other.matched+1)
+	other.knows = max(other.knows, message.Commit)
+	member.settle()
+	member.replicate(now)
+}
+
+// settle commits what a majority holds, and answers what a majority knows to be
+// committed.
+func (member *Member) settle() {
+	held := member.commonest(func(other follower) uint64 { return other.matched })
+	if held >= member.first {
+		member.advance(held)
+		member.current = true
+	}
+	member.settled = max(member.settled, member.commonest(func(other follower) uint64 { return other.knows }))
+	ready := 0
+	for ready < len(member.answers) && member.answers[ready].Index <= member.settled {
+		ready++
+	}
+	member.output.Results = append(member.output.Results, member.answers[:ready]...)
+	member.answers = member.answers[ready:]
+}
+
+// commonest is the highest index that a majority of slots has reached.
+func (member *Member) commonest(index func(follower) uint64) uint64 {
+	best := uint64(0)
+	for _, candidate := range member.others {
+		count := 0
+		for _, other := range member.others {
+			if index(other) >= index(candidate) {
+				count++
+			}
+		}
+		if count >= member.majority() {
+			best = max(best, index(candidate))
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/part/message.go
@@ -0,0 +1,94 @@
+// Package part is one part of the control state: a log kept by a small group of
+// slots, whose ballot is the round of the group's election. It is a pure state
+// machine.
+package part
+
+import (
+	"coursepass/internal/election"
+	"coursepass/internal/grant"
+	"coursepass/internal/journal"
+	"coursepass/internal/schedule"
+)
+
+// Kind says what a message is for.
+type Kind uint8
+
+// The kinds of messages between the slots of a part.
+const (
+	Elect Kind = iota + 1
+	Prepare
+	Promise
+	Append
+	Appended
+	Ask
+	Tell
+)
+
+// Message is what one slot of a part tells another.
+type Message struct {
+	Part, From, To int
+	Kind           Kind
+	Election       election.Message
+	// Round is the ballot the message belongs to; Promised is the answering
+	// slot's own promise.
+	Round, Promised uint64
+	// Index and IndexRound name the entry before Entries in Append, the last
+	// entry held in Promise and Tell, and the last that matches in Appended.
+	Index, IndexRound uint64
+	Entries           []journal.Entry
+	Base              journal.Entry
+	Commit            uint64
+	Accepted          bool
+	Established       bool
+	Granted           bool
+	Recovering        bool
+	Asked             schedule.Microseconds
+}
+
+// State is what a part's log builds.
+type State interface {
+	// Apply takes one committed operation and returns its result.
+	Apply(operation []byte) []byte
+	// Snapshot and Restore carry the whole state.
+	Snapshot() []byte
+	Restore(snapshot []byte)
+}
+
+// Result is the outcome of a proposal, given once a majority knows of it.
+type Result struct {
+	Index, Round uint64
+	Answer       []byte
+}
+
+// Output is what a step asks its driver to do. Urgent goes out at once; Held goes
+// out after Records are synced, messages to the own slot included.
+type Output struct {
+	Urgent  []Message
+	Records []journal.Record
+	Held    []Message
+	Results []Result
+	// Lost is set when proposals without a result will get none here.
+	Lost bool
+	// Applied is set when the state has changed.
+	Applied bool
+}
+
+func (output *Output) join(other Output) {
+	output.Urgent = append(output.Urgent, other.Urgent...)
+	output.Records = append(output.Records, other.Records...)
+	output.Held = append(output.Held, other.Held...)
+	output.Results = append(output.Results, other.Results...)
+	output.Lost = output.Lost || other.Lost
+	output.Applied = output.Applied || other.Applied
+}
+
+// Place says which part and slot a member is, and its lengths.
+type Place struct {
+	Part int
+	election.Place
+	grant.Terms
+	// Keep is how many applied entries the log keeps before it rebases.
+	Keep int
+}
+
+func (place Place) majority() int { return place.Slots/2 + 1 }
--- /dev/null
+++ b/internal/router/answer.go
@@ -0,0 +1,194 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"net/http"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/configuration"
+	"coursepass/internal/core"
+	"coursepass/internal/mishap"
+	"coursepass/internal/relay"
+	"coursepass/internal/schedule"
+)
+
+const largestBody = 4 << 20
+
+// Ask is a caller's request.
+type Ask struct {
+	Tenant            string `json:"tenant"`
+	Kind              string `json:"kind"`
+	Key               string `json:"key"`
+	Prompt            string `json:"prompt"`
+	Tokens            int    `json:"tokens"`
+	StartMilliseconds int64  `json:"startMilliseconds,omitempty"`
+}
+
+// Frame is one line of a streamed answer. Only the final frame, with the count,
+// makes an answer whole.
+type Frame struct {
+	Run    string `json:"run"`
+	Number int    `json:"number,omitempty"`
+	Text   string `json:"text,omitempty"`
+	Final  bool   `json:"final,omitempty"`
+	Count  int    `json:"count,omitempty"`
+}
+
+// passage is one request on its way through the router.
+type passage struct {
+	*relay.Chart
+	Ask
+	template configuration.Template
+	service  configuration.Service
+	table    *catalogue.Table
+	repeats  *relay.Repeats
+	start    schedule.Microseconds
+	abandon  schedule.Microseconds
+	run      string
+	avoid    map[string]bool
+	writer   http.ResponseWriter
+	stream   *json.Encoder
+	flush    *http.ResponseController
+	frames   int
+	retry    bool
+}
+
+func (router *Router) answer(writer http.ResponseWriter, request *http.Request) {
+	router.Received.Add(1)
+	now := router.clock.Now()
+	passing := &passage{Chart: relay.NewChart(), writer: writer, avoid: map[string]bool{}}
+	queue, failure := router.enrol(now, passing, request)
+	if failure != nil {
+		router.decline(passing, failure)
+		return
+	}
+	router.running.Add(1)
+	queue.Add(1)
+	defer func() {
+		queue.Add(-1)
+		router.running.Done()
+	}()
+	router.Enrolled.Add(1)
+	bounded, cancel := context.WithTimeout(request.Context(), (passing.abandon - now).Duration())
+	defer cancel()
+	router.end(passing, router.pass(bounded, passing))
+}
+
+// enrol checks a request against what is in force. Nothing has left for an engine
+// before it is done, so every decline here is proved not run.
+func (router *Router) enrol(now schedule.Microseconds, passing *passage, request *http.Request) (interface{ Add(int64) int64 }, error) {
+	if failure := circuit.ReadJSON(passing.writer, request, largestBody, &passing.Ask); failure != nil {
+		return nil, failure
+	}
+	if passing.Key == "" || len(passing.Key) > 128 {
+		return nil, mishap.New(mishap.KeyMissing, "%d characters", len(passing.Key))
+	}
+	if failure := router.takes(); failure != nil {
+		router.Stale.Add(1)
+		return nil, failure
+	}
+	view := router.view.Load()
+	if view == nil {
+		return nil, mishap.New(mishap.UnknownTenant, "no configuration is in force")
+	}
+	template, failure := view.Plan.Template(passing.Tenant, passing.Kind)
+	if failure != nil {
+		return nil, failure
+	}
+	if passing.Tokens < 1 || passing.Tokens > template.MostTokens {
+		return nil, mishap.New(mishap.BadBudget, "tokens: %d is not between 1 and %d", passing.Tokens, template.MostTokens)
+	}
+	if passing.StartMilliseconds < 0 || passing.StartMilliseconds > template.StartMilliseconds {
+		return nil, mishap.New(mishap.BadBudget, "startMilliseconds: %d is not between 1 and %d", passing.StartMilliseconds, template.StartMilliseconds)
+	}
+	passing.template, passing.service = template, view.Plan.Services[template.Service]
+	passing.table = router.table(template.Service)
+	repeats, queue := router.accounts(passing.Tenant, template.Service)
+	passing.repeats = repeats
+	passing.start, passing.abandon = now+template.Start(), now+template.Abandon()
+	if passing.StartMilliseconds > 0 {
+		passing.start = now + schedule.Microseconds(passing.StartMilliseconds)*schedule.Millisecond
+	}
+	if queue.Load() >= int64(passing.service.Queue) {
+		return nil, mishap.New(mishap.QueueFull, "%d requests of service %s", queue.Load(), template.Service)
+	}
+	if !router.keys.Claim(now, passing.claim()) {
+		return nil, mishap.New(mishap.KeyReused, "%s", passing.Key)
+	}
+	passing.run = rand.Text()
+	percent, allowance := view.Plan.Tenants[passing.Tenant].Share()
+	repeats.Enrol(percent, float64(allowance)/float64(router.routers()))
+	return queue, passing.Move(relay.Enrolled)
+}
+
+func (passing *passage) claim() string { return passing.Tenant + "/" + passing.Key }
+
+// routers is how many routers share an allowance, as far as is known here.
+func (router *Router) routers() int {
+	count := 1
+	for _, each := range router.gossip.Members() {
+		if each.Role == router.Role {
+			count++
+		}
+	}
+	return count
+}
+
+// decline answers before anything was streamed, with what is proved and no more.
+func (router *Router) decline(passing *passage, failure error) {
+	if passing.State == relay.Received || passing.State == relay.Enrolled || passing.State == relay.Matched {
+		passing.State = relay.Declined
+	}
+	ending := passing.Ending()
+	if ending == relay.NotRun && passing.run != "" {
+		router.keys.Free(passing.claim())
+	}
+	retry := 0
+	if code := mishap.CodeOf(failure, mishap.EndingUnknown); code >= mishap.NoEngine && code < mishap.EndingUnknown {
+		retry = 1
+	}
+	switch passing.State {
+	case relay.Declined:
+		router.Declined.Add(1)
+	case relay.Failed:
+		router.Failed.Add(1)
+	default:
+		router.Unknown.Add(1)
+	}
+	circuit.WriteDecline(passing.writer, failure, string(ending), retry)
+}
+
+// end closes a request honestly: a whole answer, an answer that breaks off
+// visibly, or a numbered decline.
+func (router *Router) end(passing *passage, failure error) {
+	switch {
+	case failure == nil:
+		router.Finished.Add(1)
+	case passing.frames > 0:
+		_ = passing.Move(relay.Cut)
+		router.Cut.Add(1)
+		panic(http.ErrAbortHandler)
+	default:
+		router.decline(passing, failure)
+	}
+}
+
+func (router *Router) troubled(parent context.Context, passing *passage, engine, stage string, proved bool) core.Ruling {
+	router.Mishaps.Add(1)
+	trouble := core.Trouble{
+		Service: passing.template.Service, Engine: engine, Run: passing.run, Stage: stage, Streamed: passing.frames > 0, Proved: proved,
+		OneShot: passing.template.OneShot(), Repeats: passing.template.Repeat, Tries: passing.Tries, Left: passing.abandon - router.clock.Now(),
+	}
+	owner := passing.table.Owner()
+	if owner == "" {
+		return core.Ruling{}
+	}
+	ruling, failure := circuit.Call[core.Trouble, core.Ruling](parent, router.inner, owner, core.MishapPath, 200*schedule.Millisecond, &trouble)
+	if failure != nil {
+		return core.Ruling{}
+	}
+	return *ruling
+}
--- /dev/null
+++ b/internal/router/gate.go
@@ -0,0 +1,176 @@
+package router
+
+import (
+	"context"
+	"sync"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/core"
+	"coursepass/internal/mishap"
+	"coursepass/internal/schedule"
+)
+
+const (
+	readEvery  = 300 * schedule.Millisecond
+	readBudget = 600 * schedule.Millisecond
+)
+
+func mishapSetting(format string, values ...any) error {
+	return mishap.New(mishap.SettingBad, format, values...)
+}
+
+type reading struct {
+	begun   schedule.Microseconds
+	targets []uint64
+}
+
+// Gate is the freshness gate. A majority read sees everything that was
+// acknowledged before it began; the gate is open while such a read, begun lately
+// enough, is met by what is installed here.
+type Gate struct {
+	Bound    schedule.Microseconds
+	parts    int
+	cores    int
+	lock     sync.Mutex
+	met      schedule.Microseconds
+	metOnce  bool
+	readings []reading
+}
+
+// NewGate is closed until the first read is met.
+func NewGate(bound schedule.Microseconds, parts, cores int) *Gate {
+	return &Gate{Bound: bound, parts: parts, cores: cores}
+}
+
+// Read takes the answers of cores to a read begun at a moment; false when they are
+// no majority for some part. Only current answers count.
+func (gate *Gate) Read(begun schedule.Microseconds, answers []core.HeadsAnswer) bool {
+	targets := make([]uint64, gate.parts)
+	for part := range gate.parts {
+		heard := map[int]bool{}
+		for _, answer := range answers {
+			if part < len(answer.Parts) && answer.Parts[part].Current {
+				heard[answer.Slot] = true
+				targets[part] = max(targets[part], answer.Parts[part].Sequence)
+			}
+		}
+		if len(heard) < gate.cores/2+1 {
+			return false
+		}
+	}
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	gate.readings = append(gate.readings, reading{begun, targets})
+	return true
+}
+
+// Open tells whether new work may be taken now, given the sequence installed of
+// each part.
+func (gate *Gate) Open(now schedule.Microseconds, installed func(part int) (uint64, bool)) bool {
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	kept := gate.readings[:0]
+	for _, each := range gate.readings {
+		switch {
+		case now-each.begun > gate.Bound:
+		case meets(each.targets, installed):
+			if !gate.metOnce || each.begun > gate.met {
+				gate.met, gate.metOnce = each.begun, true
+			}
+		default:
+			kept = append(kept, each)
+		}
+	}
+	gate.readings = kept
+	return gate.metOnce && now-gate.met <= gate.Bound
+}
+
+func meets(targets []uint64, installed func(part int) (uint64, bool)) bool {
+	for part, target := range targets {
+		if sequence, known := installed(part); !known && target > 0 || sequence < target {
+			return false
+		}
+	}
+	return true
+}
+
+// Fresh tells whether this router may take new work.
+func (router *Router) Fresh() bool {
+	return router.gate.Open(router.clock.Now(), router.gossip.Sequence)
+}
+
+// watch reads the heads from all cores, again and again, and fetches at once what
+// is behind.
+func (router *Router) watch(context context.Context) {
+	fresh, turn := false, 0
+	step := func() {
+		turn++
+		go router.read(context, turn%3 == 1)
+		if now := router.Fresh(); now != fresh {
+			fresh = now
+			log.Info().Str("router", router.Machine.Name).Bool("ready", fresh).Msg("gate")
+		}
+	}
+	step()
+	schedule.Every(context, readEvery, step)
+}
+
+func (router *Router) read(parent context.Context, soft bool) {
+	begun := router.clock.Now()
+	answers := make(chan *core.HeadsAnswer, len(router.Seeds))
+	for _, seed := range router.Seeds {
+		go func() {
+			question := &core.HeadsQuestion{From: router.Machine, Soft: soft}
+			answer, _ := circuit.Call[core.HeadsQuestion, core.HeadsAnswer](parent, router.inner, seed, core.HeadsPath, readBudget, question)
+			if answer != nil {
+				router.hear(answer.Soft)
+				router.mend(parent, seed, answer)
+			}
+			answers <- answer
+		}()
+	}
+	var heard []core.HeadsAnswer
+	met := false
+	for range router.Seeds {
+		if answer := <-answers; answer != nil {
+			heard = append(heard, *answer)
+			met = met || len(heard) > len(router.Seeds)/2 && router.gate.Read(begun, heard)
+		}
+	}
+	router.Reads.Add(1)
+	if !met {
+		router.ReadsShort.Add(1)
+	}
+}
+
+func (router *Router) hear(reports []catalogue.Report) {
+	now := router.clock.Now()
+	for _, report := range reports {
+		router.table(report.Service).Hear(now, report)
+	}
+}
+
+// mend fetches from a core what it has and this router lacks, and gives a core
+// that lost its disk what this router still has.
+func (router *Router) mend(context context.Context, seed string, answer *core.HeadsAnswer) {
+	var copies core.Copies
+	behind := false
+	for _, head := range answer.Parts {
+		item, known := router.gossip.Item(head.Part)
+		switch {
+		case head.Recovering && known:
+			copies.Items = append(copies.Items, item)
+		case head.Current && (!known || item.Sequence < head.Sequence):
+			behind = true
+		}
+	}
+	if len(copies.Items) > 0 {
+		_, _ = circuit.Call[core.Copies, core.Thanks](context, router.inner, seed, core.CopyPath, 2*schedule.Second, &copies)
+	}
+	if behind {
+		router.gossip.Mend(context, seed)
+	}
+}
--- /dev/null
+++ b/internal/router/pass.go
@@ -0,0 +1,307 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/contract"
+	"coursepass/internal/engine"
+	"coursepass/internal/mishap"
+	"coursepass/internal/relay"
+)
+
+const (
+	mostTries = 3
+	lookAgain = 5 * time.Millisecond
+)
+
+// pass runs a request until it ends. An error leaves the chart in the state that
+// tells the caller what is proved.
+func (router *Router) pass(bounded context.Context, passing *passage) error {
+	for {
+		if failure := passing.Move(relay.Matched); failure != nil {
+			return failure
+		}
+		reader, failure := router.find(bounded, passing, catalogue.Want{Part: contract.Prefill, Prefix: passing.template.Prefix})
+		if failure != nil {
+			return failure
+		}
+		ticket, failure := router.prefill(bounded, passing, reader)
+		if failure == nil {
+			failure = router.decode(bounded, passing, reader, ticket)
+		}
+		if failure == nil || passing.frames > 0 {
+			return failure
+		}
+		if bounded.Err() != nil || !router.again(bounded, passing) {
+			return failure
+		}
+	}
+}
+
+// again decides whether a try that came to nothing is followed by another: with
+// proof that it did not start, or by the leader's ruling where the template lets
+// the request be repeated; and only from the budget of repeats.
+func (router *Router) again(bounded context.Context, passing *passage) bool {
+	proved := passing.State == relay.Matched
+	if passing.Tries >= mostTries || !proved && (passing.template.OneShot() || !passing.retry) {
+		return false
+	}
+	if !passing.repeats.Take() {
+		return false
+	}
+	router.Repeats.Add(1)
+	return passing.Move(relay.Enrolled) == nil
+}
+
+// find waits for an engine with room as long as the start can still be met.
+func (router *Router) find(bounded context.Context, passing *passage, want catalogue.Want) (*catalogue.Pick, error) {
+	want.Hall, want.Versions, want.Avoid = router.Machine.Hall, passing.service.Versions, passing.avoid
+	for {
+		now := router.clock.Now()
+		pick, fit := passing.table.Choose(now, want)
+		if pick != nil {
+			return pick, nil
+		}
+		if !fit && len(passing.avoid) > 0 {
+			clear(passing.avoid)
+			continue
+		}
+		if now >= passing.start {
+			if fit {
+				return nil, mishap.New(mishap.BudgetSpent, "no engine had room to %s", want.Part)
+			}
+			return nil, mishap.New(mishap.NoEngine, "none can %s for %s", want.Part, passing.template.Service)
+		}
+		select {
+		case <-bounded.Done():
+			return nil, mishap.New(mishap.Cancelled, "the caller left")
+		case <-time.After(lookAgain):
+		}
+	}
+}
+
+// post sends one try to an engine. It is never sent twice by the library, since
+// its body can't be read again.
+func (router *Router) post(bounded context.Context, address, path string, body any) (*http.Response, error) {
+	text, failure := json.Marshal(body)
+	if failure != nil {
+		return nil, mishap.Wrap(failure, mishap.Malformed, path)
+	}
+	request, failure := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+address+path, io.NopCloser(bytes.NewReader(text)))
+	if failure != nil {
+		return nil, mishap.Wrap(failure, mishap.Malformed, path)
+	}
+	request.ContentLength = int64(len(text))
+	request.Header.Set("Content-Type", "application/json")
+	answer, failure := router.client.Do(request)
+	return answer, mishap.Wrap(failure, mishap.CircuitLost, address)
+}
+
+func declinedBy(answer *http.Response) mishap.Code {
+	var told circuit.Decline
+	if json.NewDecoder(io.LimitReader(answer.Body, 64<<10)).Decode(&told) != nil {
+		return mishap.RunFailed
+	}
+	return told.Code
+}
+
+func (router *Router) prefill(bounded context.Context, passing *passage, pick *catalogue.Pick) (engine.Ticket, error) {
+	experience := catalogue.Experience{}
+	defer func() { experience.Now = router.clock.Now(); pick.Done(experience) }()
+	_ = passing.Move(relay.Prefilling)
+	passing.Leave()
+	passing.Tries++
+	answer, failure := router.post(bounded, pick.Address, engine.PrefillPath, engine.PrefillAsk{
+		Run: passing.run, Key: passing.claim(), Service: passing.template.Service, Version: pick.Version, Prefix: passing.template.Prefix,
+		PrefixTokens: passing.service.Prefixes[passing.template.Prefix].Tokens, Prompt: passing.Prompt, Budget: passing.abandon - router.clock.Now(),
+	})
+	if failure != nil {
+		experience.Mishap = bounded.Err() == nil
+		return engine.Ticket{}, router.lost(bounded, passing, pick, contract.Prefill, failure)
+	}
+	defer answer.Body.Close()
+	experience.Running = running(answer)
+	if answer.StatusCode != http.StatusOK {
+		code := declinedBy(answer)
+		experience.Full = code.Unstarted()
+		return engine.Ticket{}, router.turned(bounded, passing, pick, contract.Prefill, code)
+	}
+	var ticket engine.Ticket
+	if json.NewDecoder(io.LimitReader(answer.Body, 64<<10)).Decode(&ticket) != nil || ticket.Run != passing.run {
+		return engine.Ticket{}, router.lost(bounded, passing, pick, contract.Prefill, mishap.New(mishap.EndingUnknown, "no ticket from %s", pick.Name))
+	}
+	experience.Ended, experience.Prefix = true, passing.template.Prefix
+	return ticket, passing.Move(relay.HandedOver)
+}
+
+// lost ends a try whose outcome is not known, or asks the leader about it.
+func (router *Router) lost(bounded context.Context, passing *passage, pick *catalogue.Pick, stage string, failure error) error {
+	passing.avoid[pick.Name] = true
+	passing.retry = false
+	router.cancel(passing.run, pick.Address)
+	if bounded.Err() == nil {
+		passing.retry = router.troubled(bounded, passing, pick.Name, stage, false).Retry
+	}
+	_ = passing.Move(relay.Unknown)
+	return mishap.Wrap(failure, mishap.EndingUnknown, stage+" at "+pick.Name)
+}
+
+// turned ends a try that an engine answered with a code.
+func (router *Router) turned(bounded context.Context, passing *passage, pick *catalogue.Pick, stage string, code mishap.Code) error {
+	passing.avoid[pick.Name] = true
+	failure := mishap.New(code, "%s at %s", stage, pick.Name)
+	if !code.Unstarted() {
+		passing.retry = router.troubled(bounded, passing, pick.Name, stage, false).Retry
+		_ = passing.Move(relay.Failed)
+		return mishap.Wrap(failure, mishap.RunFailed, "the engine's answer")
+	}
+	if stage == contract.Prefill {
+		passing.Prove()
+		_ = passing.Move(relay.Matched)
+		return mishap.Wrap(failure, mishap.NoEngine, "the engine's answer")
+	}
+	_ = passing.Move(relay.HandedOver)
+	return failure
+}
+
+// cancel ends abandoned work by its name, apart from the caller's own context.
+func (router *Router) cancel(run string, addresses ...string) {
+	for _, address := range addresses {
+		go func() {
+			bounded, stop := context.WithTimeout(context.Background(), time.Second)
+			defer stop()
+			if answer, failure := router.post(bounded, address, engine.CancelPath, engine.CancelAsk{Run: run}); failure == nil {
+				answer.Body.Close()
+			}
+		}()
+	}
+}
+
+// decode finds a token-maker for the ticket. Only the engine's own proof that it
+// did not start lets another one have the same ticket.
+func (router *Router) decode(bounded context.Context, passing *passage, reader *catalogue.Pick, ticket engine.Ticket) error {
+	for tries := 1; ; tries++ {
+		writer, failure := router.find(bounded, passing, catalogue.Want{Part: contract.Decode, Reader: reader.Name})
+		if failure != nil {
+			router.cancel(passing.run, reader.Address)
+			_ = passing.Move(relay.Failed)
+			return mishap.Wrap(failure, mishap.RunFailed, "prompt read, but no engine made tokens")
+		}
+		failure = router.make(bounded, passing, reader, writer, ticket)
+		if failure == nil || passing.State != relay.HandedOver {
+			return failure
+		}
+		code := mishap.CodeOf(failure, mishap.EndingUnknown)
+		if code == mishap.TicketVoid || tries >= mostTries || !passing.repeats.Take() {
+			passing.retry = router.troubled(bounded, passing, writer.Name, contract.Decode, false).Retry
+			router.cancel(passing.run, reader.Address)
+			_ = passing.Move(relay.Failed)
+			return mishap.Wrap(failure, mishap.RunFailed, "decode")
+		}
+		router.Repeats.Add(1)
+	}
+}
+
+func (router *Router) make(bounded context.Context, passing *passage, reader, pick *catalogue.Pick, ticket engine.Ticket) error {
+	experience := catalogue.Experience{}
+	defer func() { experience.Now = router.clock.Now(); pick.Done(experience) }()
+	_ = passing.Move(relay.Decoding)
+	answer, failure := router.post(bounded, pick.Address, engine.DecodePath, engine.DecodeAsk{
+		Ticket: ticket, Key: passing.claim(), Service: passing.template.Service, Source: reader.Address,
+		Tokens: passing.Tokens, Budget: passing.abandon - router.clock.Now(),
+	})
+	if failure != nil {
+		experience.Mishap = bounded.Err() == nil
+		router.cancel(passing.run, reader.Address)
+		return router.lost(bounded, passing, pick, contract.Decode, failure)
+	}
+	defer answer.Body.Close()
+	experience.Running = running(answer)
+	if answer.StatusCode != http.StatusOK {
+		code := declinedBy(answer)
+		experience.Full = code.Unstarted() && code != mishap.TicketVoid
+		return router.turned(bounded, passing, pick, contract.Decode, code)
+	}
+	failure = router.stream(passing, answer.Body, ticket)
+	experience.Ended = failure == nil
+	if failure == nil {
+		return passing.Move(relay.Finished)
+	}
+	if passing.frames == 0 {
+		return router.lost(bounded, passing, pick, contract.Decode, failure)
+	}
+	router.cancel(passing.run, pick.Address)
+	go router.troubled(context.WithoutCancel(bounded), passing, pick.Name, contract.Decode, false)
+	return failure
+}
+
+// stream relays frames of one run, in order, once the ticket was echoed; the final
+// frame goes out only when its count fits.
+func (router *Router) stream(passing *passage, body io.Reader, ticket engine.Ticket) error {
+	lines := bufio.NewReaderSize(body, 4096)
+	echoed := false
+	for {
+		line, failure := lines.ReadBytes('\n')
+		if failure != nil {
+			return mishap.Wrap(failure, mishap.StreamCut, "decode stream")
+		}
+		var frame engine.Frame
+		if failure := json.Unmarshal(line, &frame); failure != nil {
+			return mishap.Wrap(failure, mishap.StreamCut, "decode frame")
+		}
+		switch {
+		case frame.Run != passing.run || frame.Code != 0:
+			return mishap.New(mishap.StreamCut, "frame of run %s, code %d", frame.Run, frame.Code)
+		case !echoed:
+			if frame.Ticket == nil || *frame.Ticket != ticket {
+				return mishap.New(mishap.TicketVoid, "the ticket was not echoed")
+			}
+			echoed = true
+		case frame.Final:
+			if frame.Count != passing.frames || frame.Count != passing.Tokens {
+				return mishap.New(mishap.StreamCut, "%d frames, but the count says %d", passing.frames, frame.Count)
+			}
+			return passing.send(Frame{Run: passing.run, Final: true, Count: frame.Count})
+		case frame.Number != passing.frames+1:
+			return mishap.New(mishap.StreamCut, "frame %d after %d", frame.Number, passing.frames)
+		default:
+			if failure := passing.begin(); failure != nil {
+				return failure
+			}
+			passing.frames++
+			if failure := passing.send(Frame{Run: passing.run, Number: frame.Number, Text: frame.Text}); failure != nil {
+				return failure
+			}
+		}
+	}
+}
+
+func (passing *passage) begin() error {
+	if passing.stream != nil {
+		return nil
+	}
+	passing.stream, passing.flush = json.NewEncoder(passing.writer), http.NewResponseController(passing.writer)
+	passing.writer.Header().Set("Content-Type", "application/x-ndjson")
+	return passing.Move(relay.Streaming)
+}
+
+func (passing *passage) send(frame Frame) error {
+	if failure := passing.stream.Encode(frame); failure != nil {
+		return mishap.Wrap(failure, mishap.Abandoned, "the caller's circuit")
+	}
+	return mishap.Wrap(passing.flush.Flush(), mishap.Abandoned, "the caller's circuit")
+}
+
+func running(answer *http.Response) int {
+	count, _ := strconv.Atoi(answer.Header.Get(engine.LoadHeader))
+	return count
+}
--- /dev/null
+++ b/internal/router/public.go
@@ -0,0 +1,64 @@
+package router
+
+import (
+	"net/http"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/machine"
+	"coursepass/internal/mishap"
+	"coursepass/internal/news"
+)
+
+// Overview is a router's status.
+type Overview struct {
+	Name     string            `json:"name"`
+	Hall     string            `json:"hall"`
+	Ready    bool              `json:"ready"`
+	Heads    []news.Head       `json:"heads"`
+	Siblings []machine.Machine `json:"siblings"`
+	Counters map[string]int64  `json:"counters"`
+}
+
+func (router *Router) public() http.Handler {
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, "live") })
+	routes.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
+		if failure := router.takes(); failure != nil {
+			circuit.WriteDecline(writer, failure, "", 1)
+			return
+		}
+		circuit.WriteJSON(writer, 200, "ready")
+	})
+	routes.HandleFunc("GET /counters", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, router.counters()) })
+	routes.HandleFunc("GET /v1/status", func(writer http.ResponseWriter, _ *http.Request) {
+		circuit.WriteJSON(writer, 200, Overview{
+			Name: router.Machine.Name, Hall: router.Machine.Hall, Ready: router.takes() == nil,
+			Heads: router.gossip.Heads(), Siblings: router.gossip.Members(), Counters: router.counters(),
+		})
+	})
+	routes.HandleFunc("POST /v1/answer", router.answer)
+	return routes
+}
+
+// takes says why no new work is taken now, if so.
+func (router *Router) takes() error {
+	if router.stopped.Load() {
+		return mishap.New(mishap.RouterLeaving, "%s", router.Machine.Name)
+	}
+	if !router.Fresh() {
+		return mishap.New(mishap.RouterStale, "%s", router.Machine.Name)
+	}
+	return nil
+}
+
+func (router *Router) counters() map[string]int64 {
+	return map[string]int64{
+		"received": router.Received.Load(), "enrolled": router.Enrolled.Load(), "finished": router.Finished.Load(),
+		"declined": router.Declined.Load(), "unknown": router.Unknown.Load(), "failed": router.Failed.Load(), "cut": router.Cut.Load(),
+		"repeats": router.Repeats.Load(), "mishaps": router.Mishaps.Load(), "reads": router.Reads.Load(), "reads-short": router.ReadsShort.Load(),
+		"stale": router.Stale.Load(), "foreign": router.inner.Foreign.Load(), "garbage": router.inner.Garbage.Load(),
+		"calls": router.meter.Calls.Load(), "bytes-inside": router.meter.Inside.Load(), "bytes-across": router.meter.Across.Load(),
+		"bytes-unknown": router.meter.Unknown.Load(), "news-taken": router.gossip.Taken.Load(), "news-known": router.gossip.Known.Load(),
+		"news-passed": router.gossip.Passed.Load(), "news-mended": router.gossip.Mended.Load(),
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,199 @@
+// Package router is the data-plane daemon: it takes callers' requests and runs
+// them on engines along the contract in force.
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/configuration"
+	"coursepass/internal/core"
+	"coursepass/internal/hall"
+	"coursepass/internal/machine"
+	"coursepass/internal/news"
+	"coursepass/internal/relay"
+	"coursepass/internal/schedule"
+	"coursepass/internal/setting"
+	"coursepass/internal/sibling"
+)
+
+// Settings of a router.
+type Settings struct {
+	setting.Place
+	setting.Inner
+	Grace int `long:"grace-ms" description:"how long running streams may go on after a polite stop" default:"9000"`
+	Fresh int `long:"fresh-ms" description:"how old the last majority read may be before no new work is taken" default:"1600"`
+}
+
+// Check declines settings that can't work.
+func (settings Settings) Check() error {
+	if failure := settings.Place.Check(); failure != nil {
+		return failure
+	}
+	if settings.Fresh < 600 || settings.Fresh > 1900 {
+		return mishapSetting("--fresh-ms: %d is not between 600 and 1900", settings.Fresh)
+	}
+	if settings.Grace < 0 || settings.Grace > 600_000 {
+		return mishapSetting("--grace-ms: %d is not between 0 and 600000", settings.Grace)
+	}
+	return settings.Inner.Check()
+}
+
+// Counters are a router's counters.
+type Counters struct {
+	Received   atomic.Int64
+	Enrolled   atomic.Int64
+	Finished   atomic.Int64
+	Declined   atomic.Int64
+	Unknown    atomic.Int64
+	Failed     atomic.Int64
+	Cut        atomic.Int64
+	Repeats    atomic.Int64
+	Mishaps    atomic.Int64
+	Reads      atomic.Int64
+	ReadsShort atomic.Int64
+	Stale      atomic.Int64
+}
+
+// Router is one data-plane daemon.
+type Router struct {
+	Settings
+	Counters
+	machine.Machine
+	clock   *schedule.Clock
+	meter   *hall.Meter
+	inner   *circuit.Inner
+	gossip  *sibling.Gossip
+	gate    *Gate
+	client  *http.Client
+	keys    *relay.Keys
+	view    atomic.Pointer[configuration.View]
+	lock    sync.Mutex
+	tables  map[string]*catalogue.Table
+	repeats map[string]*relay.Repeats
+	queues  map[string]*atomic.Int64
+	stopped atomic.Bool
+	running sync.WaitGroup
+}
+
+// New makes a router from checked settings.
+func New(settings Settings, incarnation uint64) (*Router, error) {
+	if failure := settings.Check(); failure != nil {
+		return nil, failure
+	}
+	router := &Router{
+		Settings: settings,
+		Machine: machine.Machine{
+			Name: settings.Place.Name, Role: machine.Router, Hall: settings.Place.Hall,
+			Inner: settings.Inner.Inner, Public: settings.Place.Public, Incarnation: incarnation,
+		},
+		clock: schedule.NewClock(), meter: hall.NewMeter(settings.Place.Hall), keys: relay.NewKeys(),
+		tables: map[string]*catalogue.Table{}, repeats: map[string]*relay.Repeats{}, queues: map[string]*atomic.Int64{},
+	}
+	router.inner = circuit.NewInner(settings.Fleet, router.meter)
+	router.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Meter: router.meter})}
+	view := sibling.NewView(router.Machine, 8, 4, incarnation)
+	store := news.NewStore(router.install)
+	router.gossip = sibling.NewGossip(view, store, router.inner, settings.Seeds)
+	router.gate = NewGate(schedule.Microseconds(settings.Fresh)*schedule.Millisecond, settings.Parts, len(settings.Seeds))
+	return router, nil
+}
+
+// install puts a newer state in force here.
+func (router *Router) install(item news.Item) {
+	now := router.clock.Now()
+	if item.Part == 0 {
+		state := configuration.NewState()
+		state.Restore(item.Data)
+		view := state.View()
+		router.view.Store(&view)
+		router.lock.Lock()
+		defer router.lock.Unlock()
+		for _, table := range router.tables {
+			table.Evacuate(view.Evacuated)
+		}
+		return
+	}
+	view, read := catalogue.Read(item.Data)
+	if !read {
+		return
+	}
+	for _, engine := range view.Engines {
+		router.meter.Know(engine.Address, engine.Hall)
+	}
+	services := map[string]bool{}
+	for _, engine := range view.Engines {
+		services[engine.Service] = true
+	}
+	for service := range services {
+		router.table(service).Update(now, view)
+	}
+}
+
+func (router *Router) table(service string) *catalogue.Table {
+	router.lock.Lock()
+	defer router.lock.Unlock()
+	table, known := router.tables[service]
+	if !known {
+		table = catalogue.NewTable(service)
+		if view := router.view.Load(); view != nil {
+			table.Evacuate(view.Evacuated)
+		}
+		router.tables[service] = table
+	}
+	return table
+}
+
+func (router *Router) accounts(tenant, service string) (*relay.Repeats, *atomic.Int64) {
+	router.lock.Lock()
+	defer router.lock.Unlock()
+	repeats, known := router.repeats[tenant]
+	if !known {
+		repeats = &relay.Repeats{}
+		router.repeats[tenant] = repeats
+	}
+	queue, known := router.queues[service]
+	if !known {
+		queue = &atomic.Int64{}
+		router.queues[service] = queue
+	}
+	return repeats, queue
+}
+
+// Run serves until the context ends; then it takes no new work, lets streams
+// finish within the grace, and returns.
+func (router *Router) Run(parent context.Context, listeners core.Listeners) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(parent))
+	defer stop()
+	ended := make(chan error, 2)
+	go func() { ended <- circuit.Serve(serving, listeners.Inner, router.inner, schedule.Second) }()
+	go func() { ended <- circuit.Serve(serving, listeners.Public, router.public(), schedule.Second) }()
+	go router.gossip.Run(serving)
+	go router.watch(serving)
+	log.Info().Str("router", router.Machine.Name).Msg("router runs")
+	select {
+	case failure := <-ended:
+		return failure
+	case <-parent.Done():
+	}
+	router.stopped.Store(true)
+	log.Info().Str("router", router.Machine.Name).Msg("router takes no new work")
+	quiet := make(chan struct{})
+	go func() { router.running.Wait(); close(quiet) }()
+	waiting, cancel := context.WithTimeout(context.Background(), (schedule.Microseconds(router.Grace) * schedule.Millisecond).Duration())
+	defer cancel()
+	select {
+	case <-quiet:
+	case <-waiting.Done():
+	}
+	stop()
+	<-ended
+	<-ended
+	return nil
+}
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,106 @@
+// Package schedule owns time: whole microseconds on a monotonic clock, and the
+// select loop that every daemon runs.
+package schedule
+
+import (
+	"context"
+	"time"
+)
+
+// Microseconds is a span, or a moment counted from a clock's own start.
+type Microseconds int64
+
+// Spans in microseconds.
+const (
+	Millisecond Microseconds = 1000
+	Second                   = 1000 * Millisecond
+	Never                    = Microseconds(1) << 62
+)
+
+// Duration turns the span into the library's type.
+func (span Microseconds) Duration() time.Duration {
+	return time.Duration(span) * time.Microsecond
+}
+
+// Of turns the library's span into whole microseconds.
+func Of(duration time.Duration) Microseconds {
+	return Microseconds(duration / time.Microsecond)
+}
+
+// Clock tells monotonic time.
+type Clock struct{ start time.Time }
+
+// NewClock starts a clock slightly above zero, so that zero means "never yet".
+func NewClock() *Clock {
+	return &Clock{start: time.Now().Add(-time.Second)}
+}
+
+// Now is the moment on this clock. It never falls.
+func (clock *Clock) Now() Microseconds {
+	return Of(time.Since(clock.start))
+}
+
+// Loop is a select loop written once: inputs are handled one at a time, and the
+// handler says when it wants to be woken next.
+type Loop[Input any] struct {
+	Clock  *Clock
+	inputs chan Input
+}
+
+// NewLoop makes a loop whose queue holds so many inputs.
+func NewLoop[Input any](clock *Clock, depth int) *Loop[Input] {
+	return &Loop[Input]{Clock: clock, inputs: make(chan Input, depth)}
+}
+
+// Offer queues an input, or says false when the queue is full.
+func (loop *Loop[Input]) Offer(input Input) bool {
+	select {
+	case loop.inputs <- input:
+		return true
+	default:
+		return false
+	}
+}
+
+// Put queues an input, waiting for room as long as the context lives.
+func (loop *Loop[Input]) Put(context context.Context, input Input) bool {
+	select {
+	case loop.inputs <- input:
+		return true
+	case <-context.Done():
+		return false
+	}
+}
+
+// Run handles inputs and wake-ups until the context ends. Both functions return
+// the moment of the next wake-up.
+func (loop *Loop[Input]) Run(context context.Context, handle func(Input) Microseconds, wake func() Microseconds) {
+	next := wake()
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		alarm.Reset(max(next-loop.Clock.Now(), 0).Duration())
+		select {
+		case <-context.Done():
+			return
+		case input := <-loop.inputs:
+			next = handle(input)
+		case <-alarm.C:
+			next = wake()
+		}
+	}
+}
+
+// Every calls the action at the span until the context ends.
+func Every(context context.Context, span Microseconds, action func()) {
+	ticker := time.NewTicker(span.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-context.Done():
+			return
+		case <-ticker.C:
+			action()
+		}
+	}
+}
--- /dev/null
+++ b/internal/setting/setting.go
@@ -0,0 +1,122 @@
+// Package setting reads and checks what a daemon is told at its start, from flags
+// or a settings file.
+package setting
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/mishap"
+	"coursepass/internal/schedule"
+)
+
+// Place is what every daemon is told.
+type Place struct {
+	Settings string   `long:"settings" description:"settings file (INI); flags go before it" no-ini:"true"`
+	Name     string   `long:"name" description:"name of this daemon, unlike all others"`
+	Hall     string   `long:"hall" description:"hall (zone) it stands in"`
+	Fleet    string   `long:"fleet" description:"name of the fleet; messages of others are dropped" default:"coursepass"`
+	Public   string   `long:"public" description:"IP number and port for callers, operators and the platform"`
+	Seeds    []string `long:"seed" description:"inner address of a core; three of them, in the same order everywhere"`
+	Level    string   `long:"log-level" description:"lowest level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+}
+
+// Inner is told to daemons that talk to their own kind.
+type Inner struct {
+	Inner string `long:"inner" description:"IP number and port for the fleet's own daemons"`
+	Parts int    `long:"parts" description:"number of parts of the control state, the same everywhere" default:"2"`
+}
+
+// Lengths are the fleet's lengths of time; they must be the same everywhere.
+type Lengths struct {
+	Delta int `long:"delta-ms" description:"δ of the election" default:"200"`
+	Lease int `long:"lease-ms" description:"length of a leader's grant" default:"3000"`
+}
+
+// DeltaSpan is δ.
+func (lengths Lengths) DeltaSpan() schedule.Microseconds {
+	return schedule.Microseconds(lengths.Delta) * schedule.Millisecond
+}
+
+// LeaseSpan is the length of a grant.
+func (lengths Lengths) LeaseSpan() schedule.Microseconds {
+	return schedule.Microseconds(lengths.Lease) * schedule.Millisecond
+}
+
+var names = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+func bad(format string, values ...any) error { return mishap.New(mishap.SettingBad, format, values...) }
+
+// Check declines a place that can't work, naming the setting.
+func (place Place) Check() error {
+	for name, value := range map[string]string{"name": place.Name, "hall": place.Hall, "fleet": place.Fleet} {
+		if !names.MatchString(value) {
+			return bad("--%s: %q is not a name (a-z, then a-z, 0-9 or -, 63 at most)", name, value)
+		}
+	}
+	if circuit.CheckAddress(place.Public) != nil {
+		return bad("--public: %q is not an IP number with a port", place.Public)
+	}
+	if len(place.Seeds) == 0 || len(place.Seeds)%2 == 0 || len(place.Seeds) > 7 {
+		return bad("--seed: an odd number of them is needed, three as a rule, not %d", len(place.Seeds))
+	}
+	seen := map[string]bool{}
+	for _, seed := range place.Seeds {
+		if circuit.CheckAddress(seed) != nil {
+			return bad("--seed: %q is not an IP number with a port", seed)
+		}
+		if seen[seed] {
+			return bad("--seed: %s stands twice", seed)
+		}
+		seen[seed] = true
+	}
+	return nil
+}
+
+// Check declines inner settings that can't work.
+func (inner Inner) Check() error {
+	if circuit.CheckAddress(inner.Inner) != nil {
+		return bad("--inner: %q is not an IP number with a port", inner.Inner)
+	}
+	if inner.Parts < 2 || inner.Parts > 16 {
+		return bad("--parts: %d is not between 2 and 16", inner.Parts)
+	}
+	return nil
+}
+
+// Check declines lengths that can't work.
+func (lengths Lengths) Check() error {
+	if lengths.Delta < 10 || lengths.Delta > 2000 {
+		return bad("--delta-ms: %d is not between 10 and 2000", lengths.Delta)
+	}
+	if lengths.Lease < 5*lengths.Delta || lengths.Lease > 60000 {
+		return bad("--lease-ms: %d is not between five times --delta-ms and 60000", lengths.Lease)
+	}
+	return nil
+}
+
+// ReadFile fills in settings from an INI file; unknown names are declined. Flags
+// given on the command line are parsed again afterwards, so that they win.
+func ReadFile(parser *flags.Parser, path string, again []string) error {
+	if path == "" {
+		return nil
+	}
+	content, failure := os.ReadFile(path)
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.SettingBad, "--settings")
+	}
+	if failure := flags.NewIniParser(parser).Parse(strings.NewReader(string(content))); failure != nil {
+		return mishap.Wrap(failure, mishap.SettingBad, path)
+	}
+	_, failure = parser.ParseArgs(again)
+	return mishap.Wrap(failure, mishap.SettingBad, "flags")
+}
+
+// Incarnation names one life of a process. It grows with the wall clock, and is
+// only ever compared for the same daemon.
+func Incarnation() uint64 { return uint64(time.Now().UnixMicro()) }
--- /dev/null
+++ b/internal/sibling/gossip.go
@@ -0,0 +1,115 @@
+package sibling
+
+import (
+	"context"
+	"sync/atomic"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/news"
+	"coursepass/internal/schedule"
+)
+
+const (
+	shufflePath = "/sibling/shuffle"
+	pushPath    = "/news/push"
+	comparePath = "/news/compare"
+	fanout      = 2
+	smallPush   = 32 << 10
+	patience    = 400 * schedule.Millisecond
+)
+
+// Gossip joins a view and a store of news to the inner circuits of a daemon.
+type Gossip struct {
+	*View
+	*news.Store
+	inner *circuit.Inner
+	seeds []string
+	turn  atomic.Int64
+}
+
+// NewGossip serves the view's and the news' procedures.
+func NewGossip(view *View, store *news.Store, inner *circuit.Inner, seeds []string) *Gossip {
+	gossip := &Gossip{View: view, Store: store, inner: inner, seeds: seeds}
+	circuit.Answer(inner, shufflePath, func(_ context.Context, trade *Trade) (*Trade, error) {
+		inner.Meter.Know(trade.From.Inner, trade.From.Hall)
+		answer := view.Answer(*trade)
+		return &answer, nil
+	})
+	circuit.Answer(inner, pushPath, func(context context.Context, offer *news.Offer) (*news.Digest, error) {
+		for _, item := range offer.Items {
+			gossip.pass(context, item)
+		}
+		return &news.Digest{}, nil
+	})
+	circuit.Answer(inner, comparePath, func(_ context.Context, digest *news.Digest) (*news.Answer, error) {
+		answer := store.Compare(*digest)
+		return &answer, nil
+	})
+	return gossip
+}
+
+// Run shuffles each second and compares digests each half second.
+func (gossip *Gossip) Run(context context.Context) {
+	go schedule.Every(context, schedule.Second, func() { gossip.shuffle(context) })
+	gossip.shuffle(context)
+	schedule.Every(context, schedule.Second/2, func() {
+		if some := gossip.Some(1); len(some) > 0 {
+			gossip.Mend(context, some[0].Inner)
+		}
+	})
+}
+
+func (gossip *Gossip) shuffle(context context.Context) {
+	other, trade, found := gossip.Begin()
+	address := other.Inner
+	if !found {
+		if len(gossip.seeds) == 0 {
+			return
+		}
+		address = gossip.seeds[int(gossip.turn.Add(1))%len(gossip.seeds)]
+	}
+	if address == gossip.Self.Inner {
+		return
+	}
+	answer, failure := circuit.Call[Trade, Trade](context, gossip.inner, address, shufflePath, patience, &trade)
+	if failure != nil {
+		gossip.Drop(other.Name)
+		return
+	}
+	gossip.End(*answer)
+	for _, each := range gossip.Members() {
+		gossip.inner.Meter.Know(each.Inner, each.Hall)
+	}
+}
+
+// Publish takes news that began here and passes it on.
+func (gossip *Gossip) Publish(context context.Context, item news.Item) { gossip.pass(context, item) }
+
+func (gossip *Gossip) pass(parent context.Context, item news.Item) {
+	before, known := gossip.Sequence(item.Part)
+	if !gossip.Take(item) || known && before == item.Sequence {
+		return
+	}
+	for _, other := range gossip.Some(fanout) {
+		gossip.Passed.Add(1)
+		go func() {
+			if len(item.Data) > smallPush {
+				return
+			}
+			_, _ = circuit.Call[news.Offer, news.Digest](context.WithoutCancel(parent), gossip.inner, other.Inner, pushPath, patience, &news.Offer{Items: []news.Item{item}})
+		}()
+	}
+}
+
+// Mend compares digests with one address and takes what was missing here.
+func (gossip *Gossip) Mend(context context.Context, address string) {
+	answer, failure := circuit.Call[news.Digest, news.Answer](context, gossip.inner, address, comparePath, 2*schedule.Second, &news.Digest{Heads: gossip.Heads()})
+	if failure != nil {
+		return
+	}
+	for _, item := range answer.Items {
+		if gossip.Take(item) {
+			gossip.Mended.Add(1)
+		}
+	}
+}
