--- /dev/null
+++ b/cmd/coursepass-trial/main.go
@@ -0,0 +1,36 @@
+// Command coursepass-trial causes failures on purpose and checks what must never
+// happen. The daemons start no process; this program does.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"coursepass/internal/mishap"
+	"coursepass/internal/trial"
+)
+
+type commands struct {
+	Simulate trial.Simulate `command:"simulate" description:"run many seeds of mixed failures in the simulator"`
+}
+
+func main() {
+	all := &commands{}
+	parser := flags.NewParser(all, flags.HelpFlag|flags.PassDoubleDash)
+	_, failure := parser.Parse()
+	var said *flags.Error
+	if errors.As(failure, &said) && said.Type == flags.ErrHelp {
+		fmt.Println(said.Message)
+		return
+	}
+	if failure == nil {
+		failure = map[string]interface{ Run() error }{"simulate": &all.Simulate}[parser.Active.Name].Run()
+	}
+	if failure != nil {
+		fmt.Fprintln(os.Stderr, mishap.Text(failure))
+		os.Exit(1)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,6 +132,7 @@
 		Place: election.Place{Slots: len(core.Seeds), Self: core.slot, Delta: core.DeltaSpan()},
 		Terms: grant.Terms{Lease: lease, Margin: lease / 20},
 		Keep:  256,
+		Life:  core.Incarnation,
 	}
 }
 
@@ -168,7 +169,7 @@
 		launch(func() error { each.run(running); return nil })
 	}
 	for index, each := range core.shards {
-		launch(func() error { each.run(running, pasts[index], empty, empty && core.Found); return nil })
+		launch(func() error { each.run(running, pasts[index], core.Found); return nil })
 	}
 	launch(func() error { return circuit.Serve(running, listeners.Inner, core.inner, schedule.Second) })
 	launch(func() error { return circuit.Serve(running, listeners.Public, core.public(), schedule.Second) })
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -18,17 +18,30 @@
 	Clock       schedule.Microseconds
 }
 
-const window = 30 * schedule.Second
+const (
+	window = 30 * schedule.Second
+	// drift is the most that two clocks may part, as one in so many: 500 ppm.
+	drift = 2000
+)
+
+type bound struct {
+	value  schedule.Microseconds
+	taken  schedule.Microseconds
+	filled bool
+}
+
+func (bound bound) at(now schedule.Microseconds) schedule.Microseconds {
+	return bound.value - (now-bound.taken)/drift
+}
 
 // Gauge is the sender's knowledge of one receiver's clock. The other side's
 // answer showed its clock before the answer arrived here, so that clock minus our
 // time of arrival never overstates the difference. The best bound of the last two
-// windows is kept; older ones are forgotten, since clocks drift.
+// windows is kept, less what clocks may have drifted since.
 type Gauge struct {
 	incarnation uint64
 	opened      schedule.Microseconds
-	bounds      [2]schedule.Microseconds
-	filled      [2]bool
+	bounds      [2]bound
 }
 
 // Read takes a reading that arrived now.
@@ -37,27 +50,32 @@
 		*gauge = Gauge{incarnation: reading.Incarnation, opened: now}
 	}
 	gauge.turn(now)
-	bound := reading.Clock - now
-	if !gauge.filled[0] || bound > gauge.bounds[0] {
-		gauge.bounds[0], gauge.filled[0] = bound, true
+	found := bound{reading.Clock - now, now, true}
+	if held := gauge.bounds[0]; !held.filled || found.value > held.at(now) {
+		gauge.bounds[0] = found
 	}
 }
 
 func (gauge *Gauge) turn(now schedule.Microseconds) {
 	if passed := now - gauge.opened; passed >= window {
-		gauge.bounds[1], gauge.filled[1] = gauge.bounds[0], gauge.filled[0] && passed < 2*window
-		gauge.filled[0], gauge.opened = false, now
+		gauge.bounds[1] = gauge.bounds[0]
+		if passed >= 2*window {
+			gauge.bounds[1] = bound{}
+		}
+		gauge.bounds[0], gauge.opened = bound{}, now
 	}
 }
 
 // Stamp marks a message that is sent now.
 func (gauge *Gauge) Stamp(now schedule.Microseconds) Stamp {
 	gauge.turn(now)
-	best, known := gauge.bounds[0], gauge.filled[0]
-	if gauge.filled[1] && (!known || gauge.bounds[1] > best) {
-		best, known = gauge.bounds[1], true
+	stamp := Stamp{Incarnation: gauge.incarnation}
+	for _, each := range gauge.bounds {
+		if sent := now + each.at(now); each.filled && (!stamp.Known || sent > stamp.Sent) {
+			stamp.Sent, stamp.Known = sent, true
+		}
 	}
-	return Stamp{Incarnation: gauge.incarnation, Sent: now + best, Known: known}
+	return stamp
 }
 
 // Age is an upper bound of a message's age, as its receiver sees it; false when
--- a/internal/part/accepting.go
+++ b/internal/part/accepting.go
@@ -12,8 +12,16 @@
 	}
 }
 
+// ahead tells whether a message is of a round that the election here has not
+// reached. Such a message may be arbitrarily old; it is dropped, so that the
+// promise never passes the election, which alone may move to a higher round.
+func (member *Member) ahead(round uint64) bool {
+	_, reached := member.election.Leader()
+	return round > reached
+}
+
 func (member *Member) promise(message Message) {
-	if member.recovery != nil {
+	if member.recovery != nil || member.ahead(message.Round) {
 		return
 	}
 	answer := Message{To: message.From, Kind: Promise, Round: message.Round, Promised: member.Promised}
@@ -30,11 +38,11 @@
 }
 
 func (member *Member) append(now schedule.Microseconds, message Message) {
-	if member.recovery != nil {
+	if member.recovery != nil || member.ahead(message.Round) {
 		return
 	}
 	answer := Message{
-		To: message.From, Kind: Appended, Round: message.Round, Asked: message.Asked, Promised: member.Promised,
+		To: message.From, Kind: Appended, Round: message.Round, Asked: message.Asked, Promised: member.Promised, Life: member.Life,
 	}
 	if message.Round < member.Promised {
 		member.hold(answer)
@@ -55,7 +63,9 @@
 	answer.Accepted, answer.Index = true, message.Index+uint64(len(message.Entries))
 	if message.From != member.Self {
 		member.advance(min(message.Commit, answer.Index))
-		if message.Established && member.commit >= message.Commit {
+		// An Append to an earlier life may be old: what that life knew may have
+		// been counted for acknowledgements that this one has not heard of.
+		if message.Established && message.Life == member.Life && member.commit >= message.Commit {
 			member.current = true
 		}
 	}
--- a/internal/part/leading.go
+++ b/internal/part/leading.go
@@ -119,7 +119,7 @@
 	other := &member.others[slot]
 	message := Message{
 		To: slot, Kind: Append, Round: member.mine, Commit: member.commit,
-		Established: member.established(), Asked: now,
+		Established: member.established(), Asked: now, Life: other.life,
 	}
 	if other.next <= member.Base.Index {
 		message.Base = member.Base
@@ -151,6 +151,7 @@
 		return
 	}
 	other := &member.others[message.From]
+	other.life = message.Life
 	if message.Granted {
 		member.holder.Gain(now, message.From, message.Asked)
 	}
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -38,14 +38,16 @@
 
 type follower struct {
 	matched, next, knows uint64
+	life                 uint64
 	sent                 schedule.Microseconds
 	waiting              bool
 }
 
-// Start wakes a member with what its disk held. A member whose disk is empty
-// recovers before it votes; founding says that the fleet is new, so that there
-// is nothing to recover.
-func Start(place Place, state State, past journal.Past, now schedule.Microseconds, empty, founding bool) (*Member, Output) {
+// Start wakes a member with what its disk held. A member that never recorded a
+// promise recovers before it votes, however often it is started; founding says
+// that the fleet is new, so that there is nothing to recover.
+func Start(place Place, state State, past journal.Past, now schedule.Microseconds, founding bool) (*Member, Output) {
+	founding = founding && !past.Whole
 	member := &Member{Place: place, state: state, ledger: ledger{Past: past}}
 	member.commit, member.applied = past.Base.Index, past.Base.Index
 	if past.Base.Index > 0 {
@@ -55,7 +57,10 @@
 	machine, sends := election.Start(place.Place, now, past.Promised, !founding)
 	member.election = machine
 	member.post(sends)
-	if empty && !founding {
+	switch {
+	case founding:
+		member.record(journal.Record{Kind: journal.Promise, Part: place.Part})
+	case !past.Whole:
 		member.recover(now)
 	}
 	member.follow(now)
--- a/internal/part/message.go
+++ b/internal/part/message.go
@@ -43,6 +43,9 @@
 	Granted           bool
 	Recovering        bool
 	Asked             schedule.Microseconds
+	// Life is the answering slot's life, and in Append the last life that the
+	// leader heard from the slot it writes to.
+	Life uint64
 }
 
 // State is what a part's log builds.
@@ -89,6 +92,8 @@
 	grant.Terms
 	// Keep is how many applied entries the log keeps before it rebases.
 	Keep int
+	// Life tells this life of the member from earlier ones.
+	Life uint64
 }
 
 func (place Place) majority() int { return place.Slots/2 + 1 }
--- a/internal/part/recovery.go
+++ b/internal/part/recovery.go
@@ -90,4 +90,5 @@
 	member.record(journal.Record{Kind: journal.Promise, Part: member.Part, Entry: journal.Entry{Round: member.Promised}})
 	member.election.Lift()
 	member.election.Bar(recovery.highest)
+	member.overtaken(now, (member.Self+1)%member.Slots, recovery.highest)
 }
