Add a trial over real processes with named failures

coursepass-trial starts the real binaries, drives the load generator over them, causes one failure and prints figures, counts and processor time.

--- a/cmd/coursepass-trial/main.go
+++ b/cmd/coursepass-trial/main.go
@@ -14,7 +14,8 @@
 )
 
 type commands struct {
-	Simulate trial.Simulate `command:"simulate" description:"run many seeds of mixed failures in the simulator"`
+	Simulate  trial.Simulate  `command:"simulate" description:"run many seeds of mixed failures in the simulator"`
+	Processes trial.Processes `command:"processes" description:"run a load over real processes and cause a failure in it"`
 }
 
 func main() {
@@ -27,7 +28,7 @@
 		return
 	}
 	if failure == nil {
-		failure = map[string]interface{ Run() error }{"simulate": &all.Simulate}[parser.Active.Name].Run()
+		failure = map[string]interface{ Run() error }{"simulate": &all.Simulate, "processes": &all.Processes}[parser.Active.Name].Run()
 	}
 	if failure != nil {
 		fmt.Fprintln(os.Stderr, mishap.Text(failure))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,7 +34,6 @@
 	setting.Inner
 	setting.Lengths
 	Data    string `long:"data" description:"data folder"`
-	Found   bool   `long:"found" description:"this fleet is new: an empty data folder has nothing to recover"`
 	Rewrite int    `long:"rewrite-mib" description:"size at which the journal is rewritten" default:"16"`
 }
 
@@ -158,7 +157,6 @@
 		})
 	}
 	image := core.journal.Image()
-	empty := len(image.Name) == 0
 	pasts := make([]journal.Past, len(core.shards))
 	for index := range core.shards {
 		pasts[index] = *image.Past(index)
@@ -169,7 +167,7 @@
 		launch(func() error { each.run(running); return nil })
 	}
 	for index, each := range core.shards {
-		launch(func() error { each.run(running, pasts[index], core.Found); return nil })
+		launch(func() error { each.run(running, pasts[index]); return nil })
 	}
 	launch(func() error { return circuit.Serve(running, listeners.Inner, core.inner, schedule.Second) })
 	launch(func() error { return circuit.Serve(running, listeners.Public, core.public(), schedule.Second) })
@@ -177,7 +175,7 @@
 	for _, each := range core.duties {
 		launch(func() error { each.run(running); return nil })
 	}
-	log.Info().Str("core", core.Machine.Name).Int("slot", core.slot).Bool("empty", empty).Msg("core runs")
+	log.Info().Str("core", core.Machine.Name).Int("slot", core.slot).Bool("new", len(image.Name) == 0).Msg("core runs")
 	group.Wait()
 	select {
 	case failure := <-ended:
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -53,9 +53,9 @@
 	head    atomic.Pointer[news.Head]
 }
 
-func (shard *shard) run(context context.Context, past journal.Past, founding bool) {
+func (shard *shard) run(context context.Context, past journal.Past) {
 	place := shard.core.place(shard.index)
-	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), founding)
+	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), false)
 	shard.member = member
 	shard.carry(context, output)
 	shard.Run(context, func(step func()) schedule.Microseconds {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -118,7 +118,7 @@
 	for number, listeners := range fleet.cores {
 		place, inner := fleet.place("core", number, listeners)
 		each, failure := core.New(core.Settings{
-			Place: place, Inner: inner, Lengths: fleet.Lengths, Rewrite: 16, Found: true,
+			Place: place, Inner: inner, Lengths: fleet.Lengths, Rewrite: 16,
 			Data: filepath.Join(data, place.Name),
 		}, setting.Incarnation())
 		if failure != nil {
--- /dev/null
+++ b/internal/trial/processes.go
@@ -0,0 +1,152 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"coursepass/internal/mishap"
+)
+
+// process is one daemon as a process of its own.
+type process struct {
+	name    string
+	binary  string
+	flags   []string
+	folder  string
+	command *exec.Cmd
+	used    time.Duration
+}
+
+func (process *process) start() error {
+	output, failure := os.OpenFile(filepath.Join(process.folder, process.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.StartFailed, process.name)
+	}
+	defer output.Close()
+	process.command = exec.Command(process.binary, process.flags...)
+	process.command.Stdout, process.command.Stderr = output, output
+	return mishap.Wrap(process.command.Start(), mishap.StartFailed, process.name)
+}
+
+func (process *process) signal(signal syscall.Signal) { _ = process.command.Process.Signal(signal) }
+
+// end sends a signal and waits; the processor time of this life is added up.
+func (process *process) end(signal syscall.Signal) {
+	if process.command == nil {
+		return
+	}
+	process.signal(signal)
+	_ = process.command.Wait()
+	if state := process.command.ProcessState; state != nil {
+		process.used += state.UserTime() + state.SystemTime()
+	}
+	process.command = nil
+}
+
+// crowd is a whole fleet of processes on loopback.
+type crowd struct {
+	binary  string
+	folder  string
+	cores   []*process
+	routers []*process
+	engines []*process
+	corePub []string
+	coreIn  []string
+	routPub []string
+	engPub  []string
+	halls   []string
+}
+
+// addresses asks the system for free ports, all at once, so that none comes twice.
+func addresses(count int) ([]string, error) {
+	var found []string
+	for range count {
+		listener, failure := net.Listen("tcp", "127.0.0.1:0")
+		if failure != nil {
+			return nil, mishap.Wrap(failure, mishap.AddressTaken, "free port")
+		}
+		defer listener.Close()
+		found = append(found, listener.Addr().String())
+	}
+	return found, nil
+}
+
+func newCrowd(binary, folder string, routers, engines int) (*crowd, error) {
+	free, failure := addresses(6 + 2*routers + engines)
+	if failure != nil {
+		return nil, failure
+	}
+	crowd := &crowd{binary: binary, folder: folder, halls: []string{"norte", "centro", "sur"}}
+	crowd.coreIn, crowd.corePub, free = free[:3], free[3:6], free[6:]
+	var seeds, cores []string
+	for number := range 3 {
+		seeds = append(seeds, "--seed", crowd.coreIn[number])
+		cores = append(cores, "--core", crowd.corePub[number])
+	}
+	hall := func(number int) string { return crowd.halls[number%3] }
+	for number := range 3 {
+		name := fmt.Sprintf("core-%d", number)
+		flags := append([]string{"core", "--name", name, "--hall", hall(number), "--inner", crowd.coreIn[number], "--public", crowd.corePub[number],
+			"--data", filepath.Join(folder, name)}, seeds...)
+		crowd.cores = append(crowd.cores, &process{name: name, binary: binary, folder: folder, flags: flags})
+	}
+	for number := range routers {
+		name := fmt.Sprintf("router-%d", number)
+		flags := append([]string{"router", "--name", name, "--hall", hall(number), "--inner", free[0], "--public", free[1]}, seeds...)
+		crowd.routers = append(crowd.routers, &process{name: name, binary: binary, folder: folder, flags: flags})
+		crowd.routPub, free = append(crowd.routPub, free[1]), free[2:]
+	}
+	for number := range engines {
+		name := fmt.Sprintf("engine-%d", number)
+		flags := append([]string{"engine", "--name", name, "--hall", hall(number), "--address", free[0], "--service", "reservas", "--version", "r1"}, cores...)
+		crowd.engines = append(crowd.engines, &process{name: name, binary: binary, folder: folder, flags: flags})
+		crowd.engPub, free = append(crowd.engPub, free[0]), free[1:]
+	}
+	return crowd, nil
+}
+
+func (crowd *crowd) all() []*process {
+	return append(append(append([]*process{}, crowd.cores...), crowd.routers...), crowd.engines...)
+}
+
+func (crowd *crowd) start() error {
+	for _, each := range crowd.all() {
+		if failure := each.start(); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
+func (crowd *crowd) stop() {
+	for _, each := range crowd.all() {
+		if each.command != nil {
+			each.signal(syscall.SIGCONT)
+		}
+		each.end(syscall.SIGKILL)
+	}
+}
+
+func (crowd *crowd) used(kind string) time.Duration {
+	var sum time.Duration
+	for _, each := range crowd.all() {
+		if strings.HasPrefix(each.name, kind) {
+			sum += each.used
+		}
+	}
+	return sum
+}
+
+func pause(context context.Context, span time.Duration) {
+	select {
+	case <-context.Done():
+	case <-time.After(span):
+	}
+}
--- /dev/null
+++ b/internal/trial/scenario.go
@@ -0,0 +1,316 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"coursepass/internal/core"
+	"coursepass/internal/load"
+	"coursepass/internal/mishap"
+	"coursepass/internal/operator"
+)
+
+// Processes runs a load over a fleet of real processes, and causes one failure in
+// its middle.
+type Processes struct {
+	Binary   string  `long:"binary" description:"the coursepass program" default:"bin/coursepass"`
+	Scenario string  `long:"scenario" description:"failure to cause; list names them all" default:"leader-killed"`
+	Seconds  int     `long:"seconds" description:"length of the load" default:"30"`
+	Routers  int     `long:"routers" description:"number of routers" default:"4"`
+	Engines  int     `long:"engines" description:"number of engines" default:"12"`
+	Long     float64 `long:"long-rate" description:"long requests a second" default:"30"`
+	Short    float64 `long:"short-rate" description:"short requests a second" default:"36"`
+	Seed     uint64  `long:"seed" description:"seed of the load" default:"1"`
+	Document string  `long:"configuration" description:"CUE document to apply" default:"examples/asociacion.cue"`
+	Keep     bool    `long:"keep" description:"keep the folder with logs and data"`
+}
+
+type failure func(context.Context, *crowd) error
+
+var scenarios = map[string]failure{
+	"none":          func(context.Context, *crowd) error { return nil },
+	"leader-killed": leaderKilled,
+	"leader-frozen": leaderFrozen,
+	"core-wiped":    coreWiped,
+	"cores-killed":  coresKilled,
+	"engine-killed": engineKilled,
+	"engine-frozen": engineFrozen,
+	"router-killed": routerKilled,
+	"router-stop":   routerStopped,
+	"evacuate":      evacuated,
+	"leave":         left,
+	"herd":          herd,
+}
+
+// Run runs the scenario and prints the load's figures and the counts.
+func (processes *Processes) Run() error {
+	cause, known := scenarios[processes.Scenario]
+	if !known {
+		return mishap.New(mishap.SettingBad, "--scenario: %q is none of %s", processes.Scenario, strings.Join(slices.Sorted(maps.Keys(scenarios)), ", "))
+	}
+	folder, failure := os.MkdirTemp("", "coursepass-trial-")
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.StartFailed, "folder")
+	}
+	if processes.Keep {
+		fmt.Println("logs and data in", folder)
+	} else {
+		defer os.RemoveAll(folder)
+	}
+	crowd, failure := newCrowd(processes.Binary, folder, processes.Routers, processes.Engines)
+	if failure != nil {
+		return failure
+	}
+	defer crowd.stop()
+	if failure := crowd.start(); failure != nil {
+		return failure
+	}
+	begun := time.Now()
+	if failure := crowd.configure(processes.Document); failure != nil {
+		return failure
+	}
+	fmt.Printf("scenario %s: configuration in force %d ms after the start\n", processes.Scenario, time.Since(begun).Milliseconds())
+	time.Sleep(4 * time.Second)
+	return processes.drive(crowd, cause)
+}
+
+func (processes *Processes) drive(crowd *crowd, cause failure) error {
+	run, failure := load.New(load.Settings{
+		Cores: crowd.corePub, Routers: crowd.routPub, Tenant: "asociacion", Long: "waiver", Short: "reply",
+		LongRate: processes.Long, ShortRate: processes.Short, Seconds: processes.Seconds, Seed: processes.Seed,
+	})
+	if failure != nil {
+		return failure
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(processes.Seconds+60)*time.Second)
+	defer cancel()
+	caused := make(chan error, 1)
+	go func() {
+		pause(bounded, time.Duration(processes.Seconds)*time.Second/4)
+		caused <- cause(bounded, crowd)
+	}()
+	figures, failure := run.Drive(bounded)
+	if failure != nil {
+		return failure
+	}
+	if failure := <-caused; failure != nil {
+		return failure
+	}
+	figures.Print(os.Stdout, false)
+	crowd.count()
+	crowd.stop()
+	fmt.Printf("processor time: cores %d ms, routers %d ms\n", crowd.used("core").Milliseconds(), crowd.used("router").Milliseconds())
+	if count := len(figures.Violations); count > 0 {
+		return mishap.New(mishap.RunFailed, "%d violations", count)
+	}
+	return nil
+}
+
+func get(address, path string, into any) error {
+	client := &http.Client{Timeout: 2 * time.Second}
+	answer, failure := client.Get("http://" + address + path)
+	if failure != nil {
+		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	}
+	defer answer.Body.Close()
+	return mishap.Wrap(json.NewDecoder(answer.Body).Decode(into), mishap.Garbage, address)
+}
+
+// count prints what the daemons counted, cores and routers each added up.
+func (crowd *crowd) count() {
+	for _, each := range []struct {
+		name      string
+		addresses []string
+	}{{"cores", crowd.corePub}, {"routers", crowd.routPub}} {
+		sums := map[string]int64{}
+		for _, address := range each.addresses {
+			var counters map[string]int64
+			if get(address, "/counters", &counters) == nil {
+				for name, count := range counters {
+					sums[name] += count
+				}
+			}
+		}
+		fmt.Printf("%s:", each.name)
+		for _, name := range slices.Sorted(maps.Keys(sums)) {
+			if sums[name] != 0 {
+				fmt.Printf(" %s=%d", name, sums[name])
+			}
+		}
+		fmt.Println()
+	}
+}
+
+func (crowd *crowd) configure(document string) error {
+	apply := &operator.Apply{Change: operator.Change{Target: operator.Target{Cores: crowd.corePub}, Expect: 0, Key: "trial-start"}}
+	apply.Arguments.File = document
+	var failure error
+	for begun := time.Now(); time.Since(begun) < 30*time.Second; time.Sleep(200 * time.Millisecond) {
+		if failure = apply.Run(); failure == nil {
+			return nil
+		}
+	}
+	return failure
+}
+
+// leader finds the core that owns the service's part.
+func (crowd *crowd) leader() (int, uint64) {
+	for number, address := range crowd.corePub {
+		var overview core.Overview
+		if crowd.cores[number].command == nil || get(address, "/v1/status", &overview) != nil {
+			continue
+		}
+		for _, part := range overview.Parts {
+			if part.Part == 1 && part.Owner {
+				return number, part.Round
+			}
+		}
+	}
+	return -1, 0
+}
+
+func (crowd *crowd) awaitLeader(context context.Context, other int, begun time.Time) {
+	for context.Err() == nil && time.Since(begun) < 20*time.Second {
+		if number, round := crowd.leader(); number >= 0 && number != other {
+			fmt.Printf("core-%d leads in round %d, %d ms after the failure\n", number, round, time.Since(begun).Milliseconds())
+			return
+		}
+		pause(context, 50*time.Millisecond)
+	}
+}
+
+func leaderKilled(context context.Context, crowd *crowd) error {
+	number, round := crowd.leader()
+	if number < 0 {
+		return mishap.New(mishap.NotOwner, "no leader to kill")
+	}
+	fmt.Printf("kill core-%d, which leads in round %d\n", number, round)
+	crowd.cores[number].end(syscall.SIGKILL)
+	crowd.awaitLeader(context, number, time.Now())
+	pause(context, 3*time.Second)
+	return crowd.cores[number].start()
+}
+
+func leaderFrozen(context context.Context, crowd *crowd) error {
+	number, round := crowd.leader()
+	if number < 0 {
+		return mishap.New(mishap.NotOwner, "no leader to freeze")
+	}
+	fmt.Printf("freeze core-%d, which leads in round %d, for 6 s\n", number, round)
+	crowd.cores[number].signal(syscall.SIGSTOP)
+	pause(context, 6*time.Second)
+	crowd.cores[number].signal(syscall.SIGCONT)
+	crowd.awaitLeader(context, number, time.Now())
+	return nil
+}
+
+func coreWiped(context context.Context, crowd *crowd) error {
+	number, _ := crowd.leader()
+	number = max(number, 0)
+	fmt.Printf("kill core-%d and lose its disk\n", number)
+	crowd.cores[number].end(syscall.SIGKILL)
+	if failure := os.RemoveAll(filepath.Join(crowd.folder, crowd.cores[number].name)); failure != nil {
+		return mishap.Wrap(failure, mishap.StartFailed, "wipe")
+	}
+	pause(context, time.Second)
+	return crowd.cores[number].start()
+}
+
+func coresKilled(context context.Context, crowd *crowd) error {
+	fmt.Println("kill all cores, start them again after 2 s")
+	for _, each := range crowd.cores {
+		each.end(syscall.SIGKILL)
+	}
+	pause(context, 2*time.Second)
+	for _, each := range crowd.cores {
+		if failure := each.start(); failure != nil {
+			return failure
+		}
+	}
+	crowd.awaitLeader(context, -1, time.Now())
+	return nil
+}
+
+func engineKilled(context context.Context, crowd *crowd) error {
+	fmt.Println("kill engine-0 and engine-7, start them again after 2 s")
+	for _, number := range []int{0, 7} {
+		crowd.engines[number].end(syscall.SIGKILL)
+	}
+	pause(context, 2*time.Second)
+	for _, number := range []int{0, 7} {
+		if failure := crowd.engines[number].start(); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
+func engineFrozen(context context.Context, crowd *crowd) error {
+	fmt.Println("freeze engine-0 and engine-7 for 4 s")
+	for _, number := range []int{0, 7} {
+		crowd.engines[number].signal(syscall.SIGSTOP)
+	}
+	pause(context, 4*time.Second)
+	for _, number := range []int{0, 7} {
+		crowd.engines[number].signal(syscall.SIGCONT)
+	}
+	return nil
+}
+
+func routerKilled(context context.Context, crowd *crowd) error {
+	fmt.Println("kill router-0, start it again after 2 s")
+	crowd.routers[0].end(syscall.SIGKILL)
+	pause(context, 2*time.Second)
+	return crowd.routers[0].start()
+}
+
+func routerStopped(context context.Context, crowd *crowd) error {
+	fmt.Println("stop router-0 politely, start it again")
+	begun := time.Now()
+	crowd.routers[0].end(syscall.SIGTERM)
+	fmt.Printf("router-0 ended after %d ms\n", time.Since(begun).Milliseconds())
+	return crowd.routers[0].start()
+}
+
+func evacuated(context context.Context, crowd *crowd) error {
+	evacuate := &operator.Evacuate{Change: operator.Change{Target: operator.Target{Cores: crowd.corePub}, Expect: -1}}
+	evacuate.Arguments.Hall = "sur"
+	fmt.Println("evacuate hall sur, let it back after 8 s")
+	if failure := evacuate.Run(); failure != nil {
+		return failure
+	}
+	pause(context, 8*time.Second)
+	evacuate.Back = true
+	return evacuate.Run()
+}
+
+func left(_ context.Context, crowd *crowd) error {
+	fmt.Println("engine-3 is listed as leaving")
+	leave := &operator.Leave{Target: operator.Target{Cores: crowd.corePub}}
+	leave.Arguments.Service, leave.Arguments.Engine = "reservas", "engine-3"
+	return leave.Run()
+}
+
+func herd(context context.Context, crowd *crowd) error {
+	fmt.Println("kill all cores and routers, start them again after 2 s")
+	for _, each := range append(append([]*process{}, crowd.cores...), crowd.routers...) {
+		each.end(syscall.SIGKILL)
+	}
+	pause(context, 2*time.Second)
+	for _, each := range append(append([]*process{}, crowd.cores...), crowd.routers...) {
+		if failure := each.start(); failure != nil {
+			return failure
+		}
+	}
+	crowd.awaitLeader(context, -1, time.Now())
+	return nil
+}
