--- /dev/null
+++ b/internal/configuration/configuration_test.go
@@ -0,0 +1,123 @@
+package configuration_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"os"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coursepass/internal/configuration"
+	"coursepass/internal/mishap"
+	"coursepass/internal/simulation"
+)
+
+func example(name string) string {
+	text, failure := os.ReadFile("../../examples/" + name + ".cue")
+	So(failure, ShouldBeNil)
+	return string(text)
+}
+
+func TestExamplesExpand(test *testing.T) {
+	Convey("both deployments' examples expand, and parameters reach the templates", test, func() {
+		plan, failure := configuration.Expand(example("asociacion"), nil)
+		So(failure, ShouldBeNil)
+		template, failure := plan.Template("asociacion", "waiver")
+		So(failure, ShouldBeNil)
+		So(template.StartMilliseconds, ShouldEqual, 500)
+		So(template.AbandonMilliseconds, ShouldEqual, 3000)
+		So(template.OneShot(), ShouldBeTrue)
+		plan, failure = configuration.Expand(example("merrimack"), map[string]string{"startMilliseconds": "400"})
+		So(failure, ShouldBeNil)
+		template, _ = plan.Template("merrimack", "dispatch")
+		So(template.StartMilliseconds, ShouldEqual, 400)
+		So(template.OneShot(), ShouldBeFalse)
+	})
+}
+
+func TestBadDocumentsAreDeclinedWithTheirPlace(test *testing.T) {
+	good := `halls: ["a"], services: s: versions: ["1"], parameters: p: int | *500
+tenants: t: kinds: k: {service: "s", abandonMilliseconds: 3000, startMilliseconds: parameters.p}`
+	bad := map[string][2]string{
+		"not CUE":          {`halls: [`, "expected"},
+		"unknown field":    {good + "\nhals: 1", "hals"},
+		"no halls":         {`services: {}`, "halls"},
+		"unknown service":  {good + "\ntenants: t: kinds: x: {service: \"y\", abandonMilliseconds: 3000}", "tenants.t.kinds.x.service"},
+		"unknown prefix":   {good + "\ntenants: t: kinds: k: prefix: \"book\"", "tenants.t.kinds.k.prefix"},
+		"budget too large": {good + "\ntenants: t: kinds: k: mostTokens: 100000", "mostTokens"},
+		"bad name":         {good + "\ntenants: \"T x\": kinds: {}", "T x"},
+		"start past end":   {`halls: ["a"], services: s: versions: ["1"], parameters: {}, tenants: t: kinds: k: {service: "s", abandonMilliseconds: 300, startMilliseconds: 400}`, "startMilliseconds"},
+	}
+	Convey("a good document is taken", test, func() {
+		_, failure := configuration.Expand(good, nil)
+		So(failure, ShouldBeNil)
+	})
+	for name, each := range bad {
+		Convey(name+" is declined", test, func() {
+			_, failure := configuration.Expand(each[0], nil)
+			So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationInvalid)
+			So(mishap.Text(failure), ShouldContainSubstring, each[1])
+		})
+	}
+	Convey("changes that don't fit are declined", test, func() {
+		for path, value := range map[string]string{"p": `"text"`, "q": "1", "p.q": "1", "p[": "1"} {
+			_, failure := configuration.Expand(good, map[string]string{path: value})
+			So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationInvalid)
+		}
+	})
+}
+
+// A whole configuration, a small change and an evacuation that all build on the
+// same sequence, and one of them sent twice, in every order: one takes effect.
+func TestOneOfARaceTakesEffectOnce(test *testing.T) {
+	Convey("in every order", test, func() {
+		document := example("asociacion")
+		start := func() *configuration.State {
+			state := configuration.NewState()
+			view := state.View()
+			operation, failure := view.Draft(configuration.Request{Kind: configuration.Whole, Key: "first", Document: document})
+			if failure != nil {
+				test.Fatal(failure)
+			}
+			state.Apply(configuration.Encode(operation))
+			return state
+		}
+		view := start().View()
+		var drafts [][]byte
+		for _, request := range []configuration.Request{
+			{Kind: configuration.Whole, Key: "whole", Expected: 1, Document: document},
+			{Kind: configuration.Small, Key: "small", Expected: 1, Changes: map[string]string{"startMilliseconds": "450"}},
+			{Kind: configuration.Evacuate, Key: "hall", Expected: 1, Hall: "sur"},
+			{Kind: configuration.Evacuate, Key: "hall", Expected: 1, Hall: "sur"},
+		} {
+			operation, failure := view.Draft(request)
+			So(failure, ShouldBeNil)
+			drafts = append(drafts, configuration.Encode(operation))
+		}
+		simulation.Orders(len(drafts), func(order []int) {
+			state := start()
+			won := map[string]bool{}
+			for _, place := range order {
+				var outcome configuration.Outcome
+				if failure := gob.NewDecoder(bytes.NewReader(state.Apply(drafts[place]))).Decode(&outcome); failure != nil {
+					test.Fatal(failure)
+				}
+				if name := []string{"whole", "small", "hall", "hall"}[place]; outcome.Code == mishap.Fine {
+					won[name] = true
+				} else if outcome.Code != mishap.SequenceStale {
+					test.Fatalf("order %v: %+v", order, outcome)
+				}
+			}
+			now := state.View()
+			if len(won) != 1 || now.Sequence != 2 || (len(now.Evacuated) == 1) != won["hall"] || (len(now.Changes) == 1) != won["small"] {
+				test.Fatalf("order %v: won %v, in force %d %v %v", order, won, now.Sequence, now.Evacuated, now.Changes)
+			}
+		})
+	})
+	Convey("an unknown hall is declined without effect", test, func() {
+		view := configuration.NewState().View()
+		_, failure := view.Draft(configuration.Request{Kind: configuration.Evacuate, Key: "x", Hall: "nowhere"})
+		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.UnknownHall)
+	})
+}
--- /dev/null
+++ b/internal/part/part_test.go
@@ -0,0 +1,72 @@
+package part_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coursepass/internal/election"
+	"coursepass/internal/journal"
+	"coursepass/internal/part"
+	"coursepass/internal/schedule"
+	"coursepass/internal/simulation"
+)
+
+func follower(life uint64) *part.Member {
+	place := part.Place{Place: election.Place{Slots: 3, Self: 2, Delta: simulation.Delta}, Terms: simulation.Terms, Keep: 24, Life: life}
+	member, _ := part.Start(place, &simulation.Book{}, journal.Past{Whole: true, Promised: 3}, schedule.Second, false)
+	return member
+}
+
+func TestOnlyWordsToThisLifeMakeItCurrent(test *testing.T) {
+	Convey("an Append to an earlier life does not make a restarted member current", test, func() {
+		member := follower(2)
+		message := part.Message{Kind: part.Append, From: 0, To: 2, Round: 3, Established: true, Life: 1}
+		member.Receive(schedule.Second, message)
+		_, current := member.Current()
+		So(current, ShouldBeFalse)
+		message.Life = 2
+		member.Receive(schedule.Second, message)
+		_, current = member.Current()
+		So(current, ShouldBeTrue)
+	})
+}
+
+func TestNoPromisePassesTheElection(test *testing.T) {
+	Convey("a promise is given only for rounds that the election has reached", test, func() {
+		member := follower(1)
+		for _, kind := range []part.Kind{part.Prepare, part.Append} {
+			output := member.Receive(schedule.Second, part.Message{Kind: kind, From: 0, To: 2, Round: 9})
+			So(output.Held, ShouldBeEmpty)
+			So(member.Round(), ShouldEqual, 3)
+		}
+		member.Receive(schedule.Second, part.Message{Kind: part.Elect, From: 0, To: 2, Election: election.Message{Kind: election.START, Round: 9}})
+		output := member.Receive(schedule.Second, part.Message{Kind: part.Prepare, From: 0, To: 2, Round: 9})
+		So(output.Held, ShouldHaveLength, 1)
+		So(output.Records, ShouldHaveLength, 1)
+		So(member.Round(), ShouldEqual, 9)
+	})
+}
+
+func TestAMemberThatLostItsDiskIsMute(test *testing.T) {
+	Convey("without a promise on disk it neither promises, accepts nor grants", test, func() {
+		place := part.Place{Place: election.Place{Slots: 3, Self: 2, Delta: simulation.Delta}, Terms: simulation.Terms, Keep: 24, Life: 1}
+		member, _ := part.Start(place, &simulation.Book{}, journal.Past{Entries: []journal.Entry{{Index: 1}}}, schedule.Second, false)
+		So(member.Recovering(), ShouldBeTrue)
+		for _, kind := range []part.Kind{part.Prepare, part.Append} {
+			output := member.Receive(schedule.Second, part.Message{Kind: kind, From: 0, To: 2})
+			So(output.Held, ShouldBeEmpty)
+			So(output.Records, ShouldBeEmpty)
+		}
+		tell := part.Message{Kind: part.Tell, To: 2, Promised: 7, Index: 1, IndexRound: 7, Entries: []journal.Entry{{Index: 1, Round: 7}}}
+		for _, from := range []int{0, 1} {
+			tell.From = from
+			member.Receive(schedule.Second, tell)
+		}
+		So(member.Recovering(), ShouldBeTrue)
+		output := member.Receive(5*schedule.Second, tell)
+		So(member.Recovering(), ShouldBeFalse)
+		So(member.Round(), ShouldEqual, 7)
+		So(output.Records[len(output.Records)-1].Kind, ShouldEqual, journal.Promise)
+	})
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,92 @@
+package relay_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coursepass/internal/relay"
+	"coursepass/internal/schedule"
+)
+
+// Every way through the table of moves, up to a length, with bytes leaving at each
+// Prefilling and with or without the engine's proof.
+func TestEveryWayEndsHonestly(test *testing.T) {
+	ways, notRun := 0, 0
+	var walk func(chart relay.Chart, ran bool, depth int)
+	walk = func(chart relay.Chart, ran bool, depth int) {
+		ways++
+		switch ending := chart.Ending(); {
+		case ending == relay.NotRun && ran:
+			test.Fatalf("told not run, but it may have run: %+v", chart)
+		case ending == relay.NotRun:
+			notRun++
+		case ending == relay.Run && chart.Sent == 0:
+			test.Fatalf("told run, but nothing left: %+v", chart)
+		}
+		if depth == 0 {
+			return
+		}
+		for _, next := range relay.Moves[chart.State] {
+			moved := chart
+			if failure := moved.Move(next); failure != nil {
+				test.Fatal(failure)
+			}
+			switch {
+			case next == relay.Prefilling:
+				moved.Leave()
+				walk(moved, ran, depth-1)
+			case chart.State == relay.Prefilling && next == relay.Matched:
+				moved.Prove()
+				walk(moved, ran, depth-1)
+			case chart.State == relay.Prefilling:
+				walk(moved, true, depth-1)
+			default:
+				walk(moved, ran, depth-1)
+			}
+		}
+	}
+	walk(*relay.NewChart(), false, 14)
+	Convey("ways were walked", test, func() {
+		So(ways, ShouldBeGreaterThan, 1000)
+		So(notRun, ShouldBeGreaterThan, 10)
+	})
+}
+
+func TestNoStateAfterStreamingLeadsToAnotherTry(test *testing.T) {
+	Convey("streaming only finishes or is cut", test, func() {
+		So(relay.Moves[relay.Streaming], ShouldResemble, []relay.State{relay.Finished, relay.Cut})
+		So(relay.Moves[relay.Finished], ShouldBeEmpty)
+		So(relay.Moves[relay.Cut], ShouldBeEmpty)
+	})
+}
+
+func TestRepeatsStayUnderOneInFive(test *testing.T) {
+	Convey("however often a repeat is wanted", test, func() {
+		repeats := &relay.Repeats{}
+		taken := 0
+		for range 1000 {
+			repeats.Enrol(20, 5)
+			for range 3 {
+				if repeats.Take() {
+					taken++
+				}
+			}
+		}
+		So(taken, ShouldBeLessThanOrEqualTo, 205)
+		So(taken, ShouldBeGreaterThan, 150)
+	})
+}
+
+func TestKeysAreClaimedOnce(test *testing.T) {
+	Convey("a key is claimed once until it is given back or has lapsed", test, func() {
+		keys := relay.NewKeys()
+		So(keys.Claim(0, "a"), ShouldBeTrue)
+		So(keys.Claim(1, "a"), ShouldBeFalse)
+		keys.Free("a")
+		So(keys.Claim(2, "a"), ShouldBeTrue)
+		So(keys.Claim(500*schedule.Second, "a"), ShouldBeFalse)
+		So(keys.Claim(700*schedule.Second, "a"), ShouldBeTrue)
+		So(keys.Claim(701*schedule.Second, "a"), ShouldBeFalse)
+	})
+}
