Play failures over the real daemons under a virtual clock

A fabric in memory joins real cores, routers, engines and the load generator under testing/synctest: leader killed, isolated, core split, router isolated, engines killed, hall evacuated, engine leaving, herd killed after an acknowledgement. An engine that changes its part leaves the contract first, so that no request meets it half changed. Known to fail: all cores' disks lost.

--- a/cmd/coursepass/main.go
+++ b/cmd/coursepass/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -50,16 +49,6 @@
 
 type runner interface{ Run() error }
 
-func listen(place setting.Place, inner setting.Inner) (core.Listeners, error) {
-	listeners := core.Listeners{}
-	var failure error
-	if listeners.Inner, failure = circuit.Listen(inner.Inner); failure != nil {
-		return listeners, failure
-	}
-	listeners.Public, failure = circuit.Listen(place.Public)
-	return listeners, failure
-}
-
 func untilStopped() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
@@ -70,11 +59,11 @@
 		return failure
 	}
 	level(command.Level)
-	each, failure := core.New(command.Settings, setting.Incarnation())
+	each, failure := core.New(command.Settings, setting.Incarnation(), circuit.System)
 	if failure != nil {
 		return failure
 	}
-	listeners, failure := listen(command.Place, command.Inner)
+	listeners, failure := core.Listen(circuit.System, command.Inner.Inner, command.Public)
 	if failure != nil {
 		return failure
 	}
@@ -86,11 +75,11 @@
 // Run runs a router.
 func (command *routerCommand) Run() error {
 	level(command.Level)
-	each, failure := router.New(command.Settings, setting.Incarnation())
+	each, failure := router.New(command.Settings, setting.Incarnation(), circuit.System)
 	if failure != nil {
 		return failure
 	}
-	listeners, failure := listen(command.Place, command.Inner)
+	listeners, failure := core.Listen(circuit.System, command.Inner.Inner, command.Public)
 	if failure != nil {
 		return failure
 	}
@@ -102,13 +91,13 @@
 // Run runs a stand-in engine.
 func (command *engineCommand) Run() error {
 	level(command.Level)
-	each, failure := engine.New(command.Settings, engine.NewObserver(schedule.Microseconds(command.Lease)*schedule.Millisecond))
+	each, failure := engine.New(command.Settings, engine.NewObserver(schedule.Microseconds(command.Lease)*schedule.Millisecond), circuit.System)
 	if failure != nil {
 		return failure
 	}
-	listener, failure := net.Listen("tcp", command.Address)
+	listener, failure := circuit.System.Listen(command.Address)
 	if failure != nil {
-		return mishap.Wrap(failure, mishap.AddressTaken, command.Address)
+		return failure
 	}
 	running, stop := untilStopped()
 	defer stop()
@@ -133,7 +122,7 @@
 
 // Run runs a load.
 func (command *loadCommand) Run() error {
-	run, failure := load.New(command.Settings)
+	run, failure := load.New(command.Settings, circuit.System)
 	if failure != nil {
 		return failure
 	}
--- a/internal/circuit/dial.go
+++ b/internal/circuit/dial.go
@@ -21,10 +21,49 @@
 	return mishap.Wrap(failure, mishap.SettingBad, "address "+address+" is not an IP number with a port")
 }
 
+// Network opens circuits. System is the machine's own; simulations have others.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(context context.Context, address string, silence schedule.Microseconds) (net.Conn, error)
+}
+
+type system struct{}
+
+// System is the machine's own network.
+var System Network = system{}
+
+// Listen listens on an IP number and port.
+func (system) Listen(address string) (net.Listener, error) {
+	listener, failure := net.Listen("tcp", address)
+	return listener, mishap.Wrap(failure, mishap.AddressTaken, address)
+}
+
+// Dial opens a circuit; with a silence, the kernel keeps trying no longer than
+// that, and drops at a close what still waits in it.
+func (system) Dial(context context.Context, address string, silence schedule.Microseconds) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		if silence == 0 {
+			return nil
+		}
+		return raw.Control(func(descriptor uintptr) {
+			_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/schedule.Millisecond))
+		})
+	}}
+	circuit, failure := dialer.DialContext(context, "tcp", address)
+	if failure != nil {
+		return nil, mishap.Wrap(failure, mishap.CircuitLost, address)
+	}
+	if plain, yes := circuit.(*net.TCPConn); yes && silence != 0 {
+		_ = plain.SetLinger(0)
+	}
+	return circuit, nil
+}
+
 // Options of a transport. Guard is asked directly before each write to the
 // kernel; Silence is how long the kernel keeps trying before it gives up a
 // circuit, with all that waits in it.
 type Options struct {
+	Network Network
 	Meter   *hall.Meter
 	Guard   func() error
 	Silence schedule.Microseconds
@@ -57,22 +96,11 @@
 
 // NewTransport makes an HTTP/1.1 transport over counted circuits.
 func NewTransport(options Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
-		if options.Silence == 0 {
-			return nil
-		}
-		return raw.Control(func(descriptor uintptr) {
-			_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(options.Silence/schedule.Millisecond))
-		})
-	}}
 	transport := &http.Transport{
-		DialContext: func(context context.Context, network, address string) (net.Conn, error) {
-			plain, failure := dialer.DialContext(context, network, address)
+		DialContext: func(context context.Context, _, address string) (net.Conn, error) {
+			plain, failure := options.Network.Dial(context, address, options.Silence)
 			if failure != nil {
-				return nil, mishap.Wrap(failure, mishap.CircuitLost, address)
-			}
-			if options.Silence != 0 {
-				_ = plain.(*net.TCPConn).SetLinger(0)
+				return nil, failure
 			}
 			return &countedCircuit{plain, options, address}, nil
 		},
--- a/internal/circuit/inner.go
+++ b/internal/circuit/inner.go
@@ -24,6 +24,7 @@
 type Inner struct {
 	Fleet   string
 	Meter   *hall.Meter
+	Network Network
 	Foreign atomic.Int64
 	Garbage atomic.Int64
 	client  *http.Client
@@ -32,10 +33,10 @@
 }
 
 // NewInner makes the inner side of a daemon of this fleet.
-func NewInner(fleet string, meter *hall.Meter) *Inner {
+func NewInner(fleet string, meter *hall.Meter, network Network) *Inner {
 	return &Inner{
-		Fleet: fleet, Meter: meter, routes: http.NewServeMux(),
-		client: &http.Client{Transport: NewTransport(Options{Meter: meter})},
+		Fleet: fleet, Meter: meter, Network: network, routes: http.NewServeMux(),
+		client: &http.Client{Transport: NewTransport(Options{Network: network, Meter: meter})},
 	}
 }
 
@@ -122,12 +123,3 @@
 	}
 	return nil
 }
-
-// Listen opens a listening address that must be an IP number.
-func Listen(address string) (net.Listener, error) {
-	if failure := CheckAddress(address); failure != nil {
-		return nil, failure
-	}
-	listener, failure := net.Listen("tcp", address)
-	return listener, mishap.Wrap(failure, mishap.AddressTaken, address)
-}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,7 +81,7 @@
 }
 
 // New makes a core from checked settings.
-func New(settings Settings, incarnation uint64) (*Core, error) {
+func New(settings Settings, incarnation uint64, network circuit.Network) (*Core, error) {
 	if failure := settings.Check(); failure != nil {
 		return nil, failure
 	}
@@ -100,7 +100,7 @@
 		meter:   hall.NewMeter(settings.Place.Hall),
 		journal: disk,
 	}
-	core.inner = circuit.NewInner(settings.Fleet, core.meter)
+	core.inner = circuit.NewInner(settings.Fleet, core.meter, network)
 	view := sibling.NewView(core.Machine, 8, 4, incarnation)
 	core.gossip = sibling.NewGossip(view, news.NewStore(nil), core.inner, settings.Seeds)
 	for _, address := range settings.Seeds {
@@ -142,6 +142,17 @@
 // Listeners are the two sockets of a daemon.
 type Listeners struct{ Inner, Public net.Listener }
 
+// Listen opens both sockets of a daemon.
+func Listen(network circuit.Network, inner, public string) (Listeners, error) {
+	listeners := Listeners{}
+	var failure error
+	if listeners.Inner, failure = network.Listen(inner); failure != nil {
+		return listeners, failure
+	}
+	listeners.Public, failure = network.Listen(public)
+	return listeners, failure
+}
+
 // Run serves until the context ends; its error is final.
 func (core *Core) Run(parent context.Context, listeners Listeners) error {
 	running, cancel := context.WithCancel(parent)
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -27,12 +27,14 @@
 	suspectSpan = 2 * schedule.Second
 	orderBudget = 600 * schedule.Millisecond
 	settleSpan  = 5 * schedule.Second
+	moveSpan    = 900 * schedule.Millisecond
 )
 
 type soft struct {
 	catalogue.Report
 	heard   schedule.Microseconds
 	suspect schedule.Microseconds
+	moving  schedule.Microseconds
 	earlier catalogue.Report
 }
 
@@ -54,8 +56,8 @@
 
 func newDuty(core *Core, shard *shard, engines *catalogue.State) *duty {
 	duty := &duty{core: core, shard: shard, engines: engines, soft: map[string]*soft{}, wanted: map[string]string{}, shares: map[string]*contract.Share{}}
-	duty.desk = order.NewDesk(core.Machine.Name, orderBudget, core.clock, &shard.right, core.meter)
-	duty.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Meter: core.meter})}
+	duty.desk = order.NewDesk(core.Machine.Name, orderBudget, core.clock, &shard.right, circuit.Options{Network: core.inner.Network, Meter: core.meter})
+	duty.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Network: core.inner.Network, Meter: core.meter})}
 	return duty
 }
 
@@ -189,11 +191,18 @@
 			continue
 		}
 		live = append(live, known)
-		candidates = append(candidates, contract.Candidate{Name: name, Hall: engine.Hall, Version: known.Version, Part: known.Part})
 	}
-	drawn := contract.Draw(service, duty.core.Machine.Inner, round, candidates)
 	duty.assign(service, now, live)
 	for _, each := range live {
+		if !duty.moves(now, each) {
+			candidates = append(candidates, contract.Candidate{Name: each.Name, Hall: each.Hall, Version: each.Version, Part: each.Part})
+		}
+	}
+	drawn := contract.Draw(service, duty.core.Machine.Inner, round, candidates)
+	for _, each := range live {
+		if each.moving > 0 && now-each.moving < moveSpan {
+			continue
+		}
 		wanted := order.Standing{Part: duty.wanted[each.Name]}
 		for _, pair := range drawn.Partners(each.Name) {
 			wanted.Partners = append(wanted.Partners, order.Partner{Name: pair.Decode, Address: view.Engines[pair.Decode].Address})
@@ -203,6 +212,20 @@
 	return drawn, standing
 }
 
+// moves tells whether an engine is between its parts. It leaves the contract first
+// and is ordered only after the routers have had time to hear of that, so that no
+// request meets an engine that has just changed.
+func (duty *duty) moves(now schedule.Microseconds, each *soft) bool {
+	if each.Part == contract.Both || each.Part == duty.wanted[each.Name] {
+		each.moving = 0
+		return false
+	}
+	if each.moving == 0 {
+		each.moving = now
+	}
+	return true
+}
+
 // assign sets how many engines play which part. The first split follows half and
 // half; then the mix of busy time moves it, one engine at a time.
 func (duty *duty) assign(service string, now schedule.Microseconds, live []*soft) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -96,14 +96,14 @@
 }
 
 // New makes an engine. The observer may outlive it.
-func New(settings Settings, observer *Observer) (*Engine, error) {
+func New(settings Settings, observer *Observer, network circuit.Network) (*Engine, error) {
 	if failure := settings.Check(); failure != nil {
 		return nil, failure
 	}
 	clock := schedule.NewClock()
 	return &Engine{
 		Settings: settings, Observer: observer, incarnation: rand.Text(), clock: clock, born: clock.Now(),
-		client: &http.Client{Transport: circuit.NewTransport(circuit.Options{Meter: hall.NewMeter(settings.Hall)})},
+		client: &http.Client{Transport: circuit.NewTransport(circuit.Options{Network: network, Meter: hall.NewMeter(settings.Hall)})},
 		part:   contract.Both, prefixes: map[string]bool{}, memories: map[string]memory{},
 		runs: map[string]context.CancelFunc{}, cancelled: map[string]bool{},
 	}, nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -79,12 +78,7 @@
 }
 
 func open() (core.Listeners, error) {
-	inner, failure := circuit.Listen("127.0.0.1:0")
-	if failure != nil {
-		return core.Listeners{}, failure
-	}
-	public, failure := circuit.Listen("127.0.0.1:0")
-	return core.Listeners{Inner: inner, Public: public}, failure
+	return core.Listen(circuit.System, "127.0.0.1:0", "127.0.0.1:0")
 }
 
 func (fleet *Fleet) place(role string, number int, listeners core.Listeners) (setting.Place, setting.Inner) {
@@ -120,7 +114,7 @@
 		each, failure := core.New(core.Settings{
 			Place: place, Inner: inner, Lengths: fleet.Lengths, Rewrite: 16,
 			Data: filepath.Join(data, place.Name),
-		}, setting.Incarnation())
+		}, setting.Incarnation(), circuit.System)
 		if failure != nil {
 			return failure
 		}
@@ -154,7 +148,7 @@
 		return failure
 	}
 	place, inner := fleet.place("router", number, listeners)
-	each, failure := router.New(router.Settings{Place: place, Inner: inner, Grace: 2000, Fresh: 1600}, setting.Incarnation())
+	each, failure := router.New(router.Settings{Place: place, Inner: inner, Grace: 2000, Fresh: 1600}, setting.Incarnation(), circuit.System)
 	if failure != nil {
 		return failure
 	}
@@ -164,15 +158,15 @@
 }
 
 func (fleet *Fleet) startEngine(running context.Context, number int) error {
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	listener, failure := circuit.System.Listen("127.0.0.1:0")
 	if failure != nil {
-		return mishap.Wrap(failure, mishap.AddressTaken, "engine")
+		return failure
 	}
 	settings := engine.Settings{
 		Name: fmt.Sprintf("engine-%d", number), Hall: fleet.Halls[number%len(fleet.Halls)], Service: fleet.Service, Version: fleet.Version,
 		Address: listener.Addr().String(), Cores: fleet.CoreAddresses, Slots: 8, Read: 20, Write: 8000, HandOver: 3000, Keep: 5000, Lease: fleet.Lease,
 	}
-	each, failure := engine.New(settings, engine.NewObserver(fleet.LeaseSpan()))
+	each, failure := engine.New(settings, engine.NewObserver(fleet.LeaseSpan()), circuit.System)
 	if failure != nil {
 		return failure
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -60,7 +60,6 @@
 type Run struct {
 	Settings
 	client  *http.Client
-	meter   *hall.Meter
 	clock   *schedule.Clock
 	lock    sync.Mutex
 	ready   []string
@@ -75,14 +74,14 @@
 }
 
 // New makes a run from checked settings.
-func New(settings Settings) (*Run, error) {
+func New(settings Settings, network circuit.Network) (*Run, error) {
 	if failure := settings.Check(); failure != nil {
 		return nil, failure
 	}
 	meter := hall.NewMeter("")
-	transport := circuit.NewTransport(circuit.Options{Meter: meter})
+	transport := circuit.NewTransport(circuit.Options{Network: network, Meter: meter})
 	return &Run{
-		Settings: settings, meter: meter, clock: schedule.NewClock(), claims: map[string]claim{},
+		Settings: settings, clock: schedule.NewClock(), claims: map[string]claim{},
 		client: &http.Client{Transport: transport}, figures: NewFigures(),
 	}, nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,15 +18,26 @@
 	"coursepass/internal/circuit"
 	"coursepass/internal/configuration"
 	"coursepass/internal/core"
+	"coursepass/internal/hall"
 	"coursepass/internal/mishap"
 )
 
 // Target says which cores to ask.
 type Target struct {
 	Cores []string `long:"core" description:"public address of a core; several are tried in turn" required:"true"`
+	// Network is the machine's own if nothing else is set.
+	Network circuit.Network
 }
 
-var client = &http.Client{Timeout: 6 * time.Second}
+func (target Target) client() *http.Client {
+	network := target.Network
+	if network == nil {
+		network = circuit.System
+	}
+	transport := circuit.NewTransport(circuit.Options{Network: network, Meter: hall.NewMeter("")})
+	transport.DisableKeepAlives = true
+	return &http.Client{Timeout: 6 * time.Second, Transport: transport}
+}
 
 // ask goes from core to core until one answers. A request that changes something
 // goes on to the next only if it can't have been taken.
@@ -35,6 +46,7 @@
 	if failure != nil {
 		return nil, mishap.Wrap(failure, mishap.Malformed, path)
 	}
+	client := target.client()
 	last := mishap.New(mishap.SettingBad, "--core is needed at least once")
 	for turn := range 3 * len(target.Cores) {
 		if turn >= len(target.Cores) {
@@ -44,7 +56,7 @@
 		if failure := circuit.CheckAddress(address); failure != nil {
 			return nil, failure
 		}
-		found, again, failure := try(method, address, path, text)
+		found, again, failure := try(client, method, address, path, text)
 		if failure == nil {
 			return found, nil
 		}
@@ -55,7 +67,7 @@
 	return nil, last
 }
 
-func try(method, address, path string, text []byte) (found []byte, again bool, failure error) {
+func try(client *http.Client, method, address, path string, text []byte) (found []byte, again bool, failure error) {
 	request, failure := http.NewRequest(method, "http://"+address+path, bytes.NewReader(text))
 	if failure != nil {
 		return nil, false, mishap.Wrap(failure, mishap.SettingBad, address)
@@ -84,7 +96,8 @@
 	return nil, told.Code == mishap.NotOwner || told.Code == mishap.NoMajority, mishap.New(told.Code, "%s", told.Text)
 }
 
-func (target Target) get(path string, into any) error {
+// Get asks and reads the answer.
+func (target Target) Get(path string, into any) error {
 	found, failure := target.ask(http.MethodGet, path, nil)
 	if failure != nil {
 		return failure
@@ -107,7 +120,7 @@
 	request.Expected = uint64(change.Expect)
 	if change.Expect < 0 {
 		var shown core.Shown
-		if failure := change.get("/v1/configuration", &shown); failure != nil {
+		if failure := change.Get("/v1/configuration", &shown); failure != nil {
 			return failure
 		}
 		request.Expected = shown.Sequence
@@ -194,7 +207,7 @@
 // Run prints one line an engine.
 func (list *List) Run() error {
 	var listed []core.Listed
-	if failure := list.get("/v1/services/"+list.Arguments.Service+"/engines", &listed); failure != nil {
+	if failure := list.Get("/v1/services/"+list.Arguments.Service+"/engines", &listed); failure != nil {
 		return failure
 	}
 	fmt.Printf("%-16s %-12s %-22s %-8s %-5s %s\n", "engine", "hall", "address", "part", "live", "leaving")
@@ -254,8 +267,8 @@
 	reached := 0
 	for _, address := range status.Cores {
 		var overview core.Overview
-		alone := Target{Cores: []string{address}}
-		if failure := alone.get("/v1/status", &overview); failure != nil {
+		alone := Target{Cores: []string{address}, Network: status.Network}
+		if failure := alone.Get("/v1/status", &overview); failure != nil {
 			fmt.Printf("%s: %s\n", address, mishap.Text(failure))
 			continue
 		}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -13,7 +13,6 @@
 
 	"coursepass/internal/catalogue"
 	"coursepass/internal/circuit"
-	"coursepass/internal/hall"
 	"coursepass/internal/mishap"
 	"coursepass/internal/schedule"
 )
@@ -84,11 +83,10 @@
 
 // NewDesk makes the desk of a holder. Each write to the kernel asks the guard,
 // and the kernel gives up a circuit within half the budget.
-func NewDesk(holder string, budget schedule.Microseconds, clock *schedule.Clock, right *atomic.Pointer[Right], meter *hall.Meter) *Desk {
+func NewDesk(holder string, budget schedule.Microseconds, clock *schedule.Clock, right *atomic.Pointer[Right], options circuit.Options) *Desk {
 	desk := &Desk{Holder: holder, Budget: budget, clock: clock, right: right, given: map[string]*last{}}
-	desk.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{
-		Meter: meter, Guard: desk.guard, Silence: budget / 2, Single: true,
-	})}
+	options.Guard, options.Silence, options.Single = desk.guard, budget/2, true
+	desk.client = &http.Client{Transport: circuit.NewTransport(options)}
 	return desk
 }
 
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -41,7 +41,7 @@
 		if failure == nil || passing.frames > 0 {
 			return failure
 		}
-		if bounded.Err() != nil || !router.again(bounded, passing) {
+		if bounded.Err() != nil || !router.again(passing) {
 			return failure
 		}
 	}
@@ -50,7 +50,7 @@
 // again decides whether a try that came to nothing is followed by another: with
 // proof that it did not start, or by the leader's ruling where the template lets
 // the request be repeated; and only from the budget of repeats.
-func (router *Router) again(bounded context.Context, passing *passage) bool {
+func (router *Router) again(passing *passage) bool {
 	proved := passing.State == relay.Matched
 	if passing.Tries >= mostTries || !proved && (passing.template.OneShot() || !passing.retry) {
 		return false
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,7 +83,7 @@
 }
 
 // New makes a router from checked settings.
-func New(settings Settings, incarnation uint64) (*Router, error) {
+func New(settings Settings, incarnation uint64, network circuit.Network) (*Router, error) {
 	if failure := settings.Check(); failure != nil {
 		return nil, failure
 	}
@@ -96,8 +96,8 @@
 		clock: schedule.NewClock(), meter: hall.NewMeter(settings.Place.Hall), keys: relay.NewKeys(),
 		tables: map[string]*catalogue.Table{}, repeats: map[string]*relay.Repeats{}, queues: map[string]*atomic.Int64{},
 	}
-	router.inner = circuit.NewInner(settings.Fleet, router.meter)
-	router.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Meter: router.meter})}
+	router.inner = circuit.NewInner(settings.Fleet, router.meter, network)
+	router.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Network: network, Meter: router.meter})}
 	view := sibling.NewView(router.Machine, 8, 4, incarnation)
 	store := news.NewStore(router.install)
 	router.gossip = sibling.NewGossip(view, store, router.inner, settings.Seeds)
--- /dev/null
+++ b/internal/simulation/stage_plays_test.go
@@ -0,0 +1,202 @@
+package simulation_test
+
+import (
+	"testing"
+	"time"
+
+	"coursepass/internal/configuration"
+	"coursepass/internal/load"
+	"coursepass/internal/mishap"
+	"coursepass/internal/operator"
+)
+
+const recovery = 12 * time.Second
+
+func most(test *testing.T, figures *load.Figures, share float64) {
+	test.Helper()
+	if whole := float64(figures.Endings["whole"]) / float64(figures.Sent); whole < share {
+		test.Errorf("only %.3f of the answers were whole, not %.3f", whole, share)
+	}
+}
+
+func TestAWholeFleetServes(test *testing.T) {
+	play(test, func(stage *stage) {
+		figures := stage.during(5, func() {})
+		if most(test, figures, 1); figures.Late > 0 {
+			test.Errorf("%d late starts", figures.Late)
+		}
+	})
+}
+
+func TestLeaderKilled(test *testing.T) {
+	play(test, func(stage *stage) {
+		most(test, stage.during(20, func() {
+			leader := stage.leader()
+			stage.kill(leader)
+			time.Sleep(8 * time.Second)
+			if next := stage.leader(); next == "" || next == leader {
+				test.Errorf("after %s the leader is %q", leader, next)
+			}
+			stage.wake(leader)
+		}), 0.99)
+	})
+}
+
+func TestLeaderIsolatedAndBack(test *testing.T) {
+	play(test, func(stage *stage) {
+		most(test, stage.during(24, func() {
+			leader := stage.leader()
+			stage.Isolate(leader, stage.names())
+			time.Sleep(9 * time.Second)
+			stage.Heal()
+			time.Sleep(4 * time.Second)
+		}), 0.98)
+	})
+}
+
+func TestCoreSplit(test *testing.T) {
+	play(test, func(stage *stage) {
+		stage.during(16, func() {
+			for _, from := range []string{"core-0", "core-1", "core-2"} {
+				stage.Isolate(from, []string{"core-0", "core-1", "core-2"})
+			}
+			time.Sleep(6 * time.Second)
+			stage.Heal()
+		})
+		if span := stage.recovers(); span > recovery {
+			test.Errorf("serving came back only after %v", span)
+		}
+	})
+}
+
+func TestRouterIsolated(test *testing.T) {
+	play(test, func(stage *stage) {
+		alone := operator.Target{Cores: stage.routPub[1:2], Network: stage.change().Network}
+		var text string
+		figures := stage.during(14, func() {
+			stage.Isolate("router-1", []string{"core-0", "core-1", "core-2", "router-0", "router-2"})
+			time.Sleep(2 * time.Second)
+			if failure := alone.Get("/ready", &text); mishap.CodeOf(failure, 0) != mishap.RouterStale {
+				test.Errorf("a router that can't prove its configuration says %v", failure)
+			}
+			stage.Heal()
+			time.Sleep(2 * time.Second)
+			if failure := alone.Get("/ready", &text); failure != nil {
+				test.Error(failure)
+			}
+		})
+		most(test, figures, 0.99)
+	})
+}
+
+// Engines of both parts die in the middle of a load: each request that is in
+// prefill, in hand-over or in decode there ends honestly.
+func TestEnginesKilled(test *testing.T) {
+	play(test, func(stage *stage) {
+		figures := stage.during(16, func() {
+			for _, name := range []string{"engine-0", "engine-5", "engine-2"} {
+				stage.kill(name)
+				time.Sleep(700 * time.Millisecond)
+				stage.wake(name)
+				time.Sleep(1500 * time.Millisecond)
+			}
+		})
+		most(test, figures, 0.95)
+		if figures.Endings["whole"] == figures.Sent {
+			test.Error("nothing was hit: the kills missed all requests")
+		}
+	})
+}
+
+func TestEvacuation(test *testing.T) {
+	play(test, func(stage *stage) {
+		figures := stage.during(16, func() {
+			evacuate := &operator.Evacuate{Change: stage.change()}
+			evacuate.Arguments.Hall = "sur"
+			if failure := evacuate.Run(); failure != nil {
+				test.Error(failure)
+			}
+			time.Sleep(5 * time.Second)
+			before := stage.begun("engine-2") + stage.begun("engine-5")
+			time.Sleep(4 * time.Second)
+			if after := stage.begun("engine-2") + stage.begun("engine-5"); after != before {
+				test.Errorf("%d runs began in an evacuated hall after five seconds", after-before)
+			}
+		})
+		most(test, figures, 0.99)
+	})
+}
+
+func TestLeavingEngineGetsNothingNew(test *testing.T) {
+	play(test, func(stage *stage) {
+		figures := stage.during(14, func() {
+			leave := &operator.Leave{Target: stage.change().Target}
+			leave.Arguments.Service, leave.Arguments.Engine = "reservas", "engine-1"
+			if failure := leave.Run(); failure != nil {
+				test.Error(failure)
+			}
+			time.Sleep(3 * time.Second)
+			before := stage.begun("engine-1")
+			time.Sleep(5 * time.Second)
+			if after := stage.begun("engine-1"); after != before {
+				test.Errorf("%d runs began at a leaving engine after three seconds", after-before)
+			}
+		})
+		most(test, figures, 0.99)
+	})
+}
+
+func TestAllCoresLoseTheirDisks(test *testing.T) {
+	play(test, func(stage *stage) {
+		small := &operator.Small{Change: stage.change()}
+		small.Arguments.Pairs = []string{"startMilliseconds=450"}
+		if failure := small.Run(); failure != nil {
+			test.Fatal(failure)
+		}
+		time.Sleep(2 * time.Second)
+		cores := []string{"core-0", "core-1", "core-2"}
+		for _, name := range cores {
+			stage.kill(name)
+			stage.wipe(name)
+		}
+		time.Sleep(time.Second)
+		for _, name := range cores {
+			stage.wake(name)
+		}
+		if span := stage.recovers(); span > recovery {
+			test.Errorf("serving came back only after %v", span)
+		}
+		var shown struct {
+			configuration.View
+			Sequence uint64
+		}
+		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 2 {
+			test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, failure)
+		}
+	})
+}
+
+func TestHerdKilledRightAfterAnAcknowledgement(test *testing.T) {
+	play(test, func(stage *stage) {
+		small := &operator.Small{Change: stage.change()}
+		small.Arguments.Pairs = []string{"startMilliseconds=450"}
+		if failure := small.Run(); failure != nil {
+			test.Fatal(failure)
+		}
+		herd := []string{"core-0", "core-1", "core-2", "router-0", "router-1", "router-2"}
+		for _, name := range herd {
+			stage.kill(name)
+		}
+		stage.wipe("core-1")
+		for _, name := range herd {
+			stage.wake(name)
+		}
+		if span := stage.recovers(); span > recovery {
+			test.Errorf("serving came back only after %v", span)
+		}
+		var shown struct{ Sequence uint64 }
+		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 2 {
+			test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, failure)
+		}
+	})
+}
--- /dev/null
+++ b/internal/simulation/stage_test.go
@@ -0,0 +1,281 @@
+package simulation_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/core"
+	"coursepass/internal/engine"
+	"coursepass/internal/load"
+	"coursepass/internal/operator"
+	"coursepass/internal/router"
+	"coursepass/internal/schedule"
+	"coursepass/internal/setting"
+	"coursepass/internal/simulation"
+)
+
+// stage is a whole fleet of the real daemons over a fabric, under the virtual clock
+// of testing/synctest.
+type stage struct {
+	*testing.T
+	*simulation.Fabric
+	lives     map[string]*life
+	observers map[string]*engine.Observer
+	start     map[string]func() func(context.Context) error
+	folder    string
+	seeds     []string
+	corePub   []string
+	routPub   []string
+}
+
+type life struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+var halls = []string{"norte", "centro", "sur"}
+
+func play(test *testing.T, act func(*stage)) {
+	log.DefaultLogger.Writer = &log.IOWriter{Writer: io.Discard}
+	folder := test.TempDir()
+	synctest.Test(test, func(test *testing.T) {
+		stage := &stage{
+			T: test, Fabric: simulation.NewFabric(200), lives: map[string]*life{}, folder: folder,
+			observers: map[string]*engine.Observer{}, start: map[string]func() func(context.Context) error{},
+		}
+		defer stage.end()
+		stage.build(3, 3, 6)
+		for name := range stage.start {
+			stage.wake(name)
+		}
+		stage.configure()
+		time.Sleep(5 * time.Second)
+		act(stage)
+	})
+}
+
+// end kills all daemons, lets what they began come to rest, and asks the observers.
+func (stage *stage) end() {
+	for name := range stage.lives {
+		stage.kill(name)
+	}
+	for name, observer := range stage.observers {
+		for _, violation := range observer.Violations() {
+			stage.Errorf("%s: %s", name, violation)
+		}
+	}
+	time.Sleep(2 * time.Minute)
+}
+
+func (stage *stage) build(cores, routers, engines int) {
+	for number := range cores {
+		stage.seeds = append(stage.seeds, fmt.Sprintf("10.0.0.%d:1", number))
+		stage.corePub = append(stage.corePub, fmt.Sprintf("127.0.0.%d:2", number))
+	}
+	place := func(role string, number int, public string) setting.Place {
+		return setting.Place{Name: fmt.Sprintf("%s-%d", role, number), Hall: halls[number%3], Fleet: "stage", Public: public, Seeds: stage.seeds}
+	}
+	for number := range cores {
+		settings := core.Settings{
+			Place: place("core", number, stage.corePub[number]), Inner: setting.Inner{Inner: stage.seeds[number], Parts: 2},
+			Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Rewrite: 16, Data: filepath.Join(stage.folder, fmt.Sprint("core-", number)),
+		}
+		stage.add(settings.Place.Name, settings.Inner.Inner, settings.Public, func(port simulation.Port) (daemon, error) {
+			return core.New(settings, setting.Incarnation(), port)
+		})
+	}
+	for number := range routers {
+		public := fmt.Sprintf("127.0.1.%d:2", number)
+		stage.routPub = append(stage.routPub, public)
+		settings := router.Settings{Place: place("router", number, public), Inner: setting.Inner{Inner: fmt.Sprintf("10.0.1.%d:1", number), Parts: 2}, Grace: 2000, Fresh: 1600}
+		stage.add(settings.Place.Name, settings.Inner.Inner, public, func(port simulation.Port) (daemon, error) {
+			return router.New(settings, setting.Incarnation(), port)
+		})
+	}
+	for number := range engines {
+		stage.engine(number, "r1")
+	}
+}
+
+type daemon interface {
+	Run(context.Context, core.Listeners) error
+}
+
+func (stage *stage) add(name, inner, public string, make func(simulation.Port) (daemon, error)) {
+	stage.start[name] = func() func(context.Context) error {
+		port := simulation.Port{Fabric: stage.Fabric, Machine: name}
+		each, failure := make(port)
+		if failure != nil {
+			stage.Fatal(failure)
+		}
+		listeners, failure := core.Listen(port, inner, public)
+		if failure != nil {
+			stage.Fatal(failure)
+		}
+		return func(context context.Context) error { return each.Run(context, listeners) }
+	}
+}
+
+func (stage *stage) engine(number int, version string) {
+	name := fmt.Sprint("engine-", number)
+	if stage.observers[name] == nil {
+		stage.observers[name] = engine.NewObserver(3 * schedule.Second)
+	}
+	settings := engine.Settings{
+		Name: name, Hall: halls[number%3], Service: "reservas", Version: version, Address: fmt.Sprintf("127.0.2.%d:2", number),
+		Cores: stage.corePub, Slots: 8, Read: 20, Write: 8000, HandOver: 3000, Keep: 5000, Lease: 3000,
+	}
+	stage.start[name] = func() func(context.Context) error {
+		port := simulation.Port{Fabric: stage.Fabric, Machine: name}
+		each, failure := engine.New(settings, stage.observers[name], port)
+		if failure != nil {
+			stage.Fatal(failure)
+		}
+		listener, failure := port.Listen(settings.Address)
+		if failure != nil {
+			stage.Fatal(failure)
+		}
+		return func(context context.Context) error { return each.Run(context, listener) }
+	}
+}
+
+func (stage *stage) wake(name string) {
+	running, stop := context.WithCancel(context.Background())
+	run, done := stage.start[name](), make(chan struct{})
+	stage.lives[name] = &life{stop, done}
+	go func() {
+		defer close(done)
+		_ = run(running)
+	}()
+}
+
+// kill closes everything of a daemon at once, and then lets it end unheard.
+func (stage *stage) kill(name string) {
+	each, alive := stage.lives[name]
+	if !alive {
+		return
+	}
+	delete(stage.lives, name)
+	stage.Kill(name)
+	each.stop()
+	stage.Kill(name)
+	<-each.done
+}
+
+// polite stops a daemon as the platform does first.
+func (stage *stage) polite(name string) {
+	each := stage.lives[name]
+	delete(stage.lives, name)
+	each.stop()
+	<-each.done
+}
+
+func (stage *stage) wipe(name string) {
+	if failure := os.RemoveAll(filepath.Join(stage.folder, name)); failure != nil {
+		stage.Fatal(failure)
+	}
+}
+
+func (stage *stage) names() []string {
+	var names []string
+	for name := range stage.start {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (stage *stage) change() operator.Change {
+	return operator.Change{Expect: -1, Target: operator.Target{Cores: stage.corePub, Network: simulation.Port{Fabric: stage.Fabric, Machine: "operator"}}}
+}
+
+func (stage *stage) configure() {
+	apply := &operator.Apply{Change: stage.change()}
+	apply.Arguments.File = "../../examples/asociacion.cue"
+	var failure error
+	for range 100 {
+		if failure = apply.Run(); failure == nil {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	stage.Fatal(failure)
+}
+
+// during runs a load, has the failures happen in it, and checks what must never
+// happen; it returns the figures for what the play expects besides.
+func (stage *stage) during(seconds int, fail func()) *load.Figures {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(2 * time.Second)
+		fail()
+	}()
+	figures := stage.load(seconds)
+	<-done
+	figures.Print(stage.Output(), false)
+	for _, violation := range figures.Violations {
+		stage.Error(violation)
+	}
+	return figures
+}
+
+// leader is the core that owns the service's part.
+func (stage *stage) leader() string {
+	for number, address := range stage.corePub {
+		var overview core.Overview
+		target := operator.Target{Cores: []string{address}, Network: simulation.Port{Fabric: stage.Fabric, Machine: "operator"}}
+		if target.Get("/v1/status", &overview) == nil && overview.Parts[1].Owner {
+			return fmt.Sprint("core-", number)
+		}
+	}
+	return ""
+}
+
+// recovers waits until a load is answered whole again, and says how long it took.
+func (stage *stage) recovers() time.Duration {
+	begun := time.Now()
+	for time.Since(begun) < 30*time.Second {
+		if figures, failure := stage.drive(1); failure == nil && figures.Endings["whole"] == figures.Sent {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+func (stage *stage) load(seconds int) *load.Figures {
+	figures, failure := stage.drive(seconds)
+	if failure != nil {
+		stage.Fatal(failure)
+	}
+	return figures
+}
+
+func (stage *stage) drive(seconds int) (*load.Figures, error) {
+	run, failure := load.New(load.Settings{
+		Cores: stage.corePub, Routers: stage.routPub, Tenant: "asociacion", Long: "waiver", Short: "reply",
+		LongRate: 20, ShortRate: 24, Seconds: seconds, Seed: 1,
+	}, simulation.Port{Fabric: stage.Fabric, Machine: "caller"})
+	if failure != nil {
+		stage.Fatal(failure)
+	}
+	return run.Drive(context.Background())
+}
+
+// begun is how many runs an engine's book has.
+func (stage *stage) begun(name string) int {
+	var ledger engine.Ledger
+	target := operator.Target{Cores: []string{"127.0.2." + name[len("engine-"):] + ":2"}, Network: simulation.Port{Fabric: stage.Fabric, Machine: "operator"}}
+	if failure := target.Get(engine.LedgerPath, &ledger); failure != nil {
+		stage.Error(failure)
+	}
+	return len(ledger.Lines)
+}
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"coursepass/internal/circuit"
 	"coursepass/internal/core"
 	"coursepass/internal/load"
 	"coursepass/internal/mishap"
@@ -87,7 +88,7 @@
 	run, failure := load.New(load.Settings{
 		Cores: crowd.corePub, Routers: crowd.routPub, Tenant: "asociacion", Long: "waiver", Short: "reply",
 		LongRate: processes.Long, ShortRate: processes.Short, Seconds: processes.Seconds, Seed: processes.Seed,
-	})
+	}, circuit.System)
 	if failure != nil {
 		return failure
 	}
