--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	crypto "crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -60,6 +61,7 @@
 type Run struct {
 	Settings
 	client  *http.Client
+	name    string
 	clock   *schedule.Clock
 	lock    sync.Mutex
 	ready   []string
@@ -81,7 +83,7 @@
 	meter := hall.NewMeter("")
 	transport := circuit.NewTransport(circuit.Options{Network: network, Meter: meter})
 	return &Run{
-		Settings: settings, clock: schedule.NewClock(), claims: map[string]claim{},
+		Settings: settings, name: crypto.Text(), clock: schedule.NewClock(), claims: map[string]claim{},
 		client: &http.Client{Transport: transport}, figures: NewFigures(),
 	}, nil
 }
@@ -196,7 +198,7 @@
 		}
 		intended := due
 		ask := call{
-			kind: kind, key: fmt.Sprintf("%s-%d-%d-%d", kind, seed, begin, number), template: template,
+			kind: kind, key: fmt.Sprintf("%s-%s-%d", kind, run.name, number), template: template,
 			prompt: strings.Repeat(fmt.Sprintf("%08x", chance.Uint32()), 8+chance.IntN(40)),
 			tokens: 1 + chance.IntN(template.MostTokens),
 		}
--- a/internal/part/log.go
+++ b/internal/part/log.go
@@ -38,9 +38,13 @@
 func (ledger *ledger) merge(part int, entries []journal.Entry) []journal.Record {
 	var records []journal.Record
 	for _, entry := range entries {
+		last, _ := ledger.Last()
 		if entry.Index <= ledger.Base.Index {
 			continue
 		}
+		if entry.Index > last+1 {
+			break
+		}
 		if held, known := ledger.at(entry.Index); known {
 			if held.Round == entry.Round {
 				continue
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -126,8 +126,8 @@
 			question := &core.HeadsQuestion{From: router.Machine, Soft: soft}
 			answer, _ := circuit.Call[core.HeadsQuestion, core.HeadsAnswer](parent, router.inner, seed, core.HeadsPath, readBudget, question)
 			if answer != nil {
-				router.hear(answer.Soft)
 				router.mend(parent, seed, answer)
+				router.hear(answer.Soft)
 			}
 			answers <- answer
 		}()
--- /dev/null
+++ b/internal/setting/setting_test.go
@@ -0,0 +1,80 @@
+package setting_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"coursepass/internal/core"
+	"coursepass/internal/mishap"
+	"coursepass/internal/setting"
+)
+
+func good() core.Settings {
+	seeds := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+	return core.Settings{
+		Place:   setting.Place{Name: "core-0", Hall: "norte", Fleet: "f", Public: "10.0.0.1:2", Seeds: seeds},
+		Inner:   setting.Inner{Inner: "10.0.0.1:1", Parts: 2},
+		Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Data: "x", Rewrite: 16,
+	}
+}
+
+func TestBadSettingsAreNamed(test *testing.T) {
+	bad := map[string]func(*core.Settings){
+		"--name":        func(settings *core.Settings) { settings.Place.Name = "Core 0" },
+		"--hall":        func(settings *core.Settings) { settings.Hall = "" },
+		"--public":      func(settings *core.Settings) { settings.Public = "localhost:80" },
+		"--inner":       func(settings *core.Settings) { settings.Inner.Inner = "10.0.0.9:1" },
+		"--seed":        func(settings *core.Settings) { settings.Seeds = settings.Seeds[:2] },
+		"--parts":       func(settings *core.Settings) { settings.Parts = 1 },
+		"--delta-ms":    func(settings *core.Settings) { settings.Delta = 1 },
+		"--lease-ms":    func(settings *core.Settings) { settings.Lease = 300 },
+		"--data":        func(settings *core.Settings) { settings.Data = "" },
+		"--rewrite-mib": func(settings *core.Settings) { settings.Rewrite = 0 },
+	}
+	Convey("good settings pass", test, func() {
+		So(good().Check(), ShouldBeNil)
+	})
+	for name, spoil := range bad {
+		Convey(name+" is named", test, func() {
+			settings := good()
+			spoil(&settings)
+			failure := settings.Check()
+			So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.SettingBad)
+			So(mishap.Text(failure), ShouldContainSubstring, name)
+		})
+	}
+}
+
+func TestASettingsFileIsReadAndFlagsWin(test *testing.T) {
+	type commands struct {
+		Core struct{ core.Settings } `command:"core"`
+	}
+	read := func(content string, arguments ...string) (core.Settings, error) {
+		path := filepath.Join(test.TempDir(), "settings.ini")
+		So(os.WriteFile(path, []byte(content), 0o600), ShouldBeNil)
+		all := &commands{}
+		parser := flags.NewParser(all, flags.None)
+		parser.CommandHandler = func(flags.Commander, []string) error { return nil }
+		arguments = append([]string{"core", "--settings", path}, arguments...)
+		_, failure := parser.ParseArgs(arguments)
+		So(failure, ShouldBeNil)
+		failure = setting.ReadFile(parser, path, arguments)
+		return all.Core.Settings, failure
+	}
+	Convey("names and seeds come from the file, a flag goes before it", test, func() {
+		settings, failure := read("[core]\nname = core-7\nhall = sur\nseed = 10.0.0.1:1\nseed = 10.0.0.2:1\nseed = 10.0.0.3:1\n", "--hall", "norte")
+		So(failure, ShouldBeNil)
+		So(settings.Place.Name, ShouldEqual, "core-7")
+		So(settings.Hall, ShouldEqual, "norte")
+		So(settings.Seeds, ShouldResemble, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+	})
+	Convey("an unknown name in the file is declined", test, func() {
+		_, failure := read("[core]\nnmae = core-7\n")
+		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.SettingBad)
+		So(mishap.Text(failure), ShouldContainSubstring, "nmae")
+	})
+}
