--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -16,6 +16,7 @@
 	missCost      = 0.5
 	farCost       = 0.2
 	defaultSlots  = 4
+	shunSpan      = schedule.Second
 )
 
 type seat struct {
@@ -205,6 +206,15 @@
 	return len(partners) == 0
 }
 
+// Shun gives an engine no new work from here for a second.
+func (table *Table) Shun(name string, now schedule.Microseconds) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if held, known := table.seats[name]; known {
+		held.shunned = now + shunSpan
+	}
+}
+
 func (table *Table) done(held *seat) func(Experience) {
 	return func(experience Experience) {
 		table.lock.Lock()
@@ -223,7 +233,7 @@
 			held.others, held.sampled = max(held.slots()-held.own, held.others), experience.Now
 		}
 		if experience.Mishap {
-			held.shunned = experience.Now + schedule.Second
+			held.shunned = experience.Now + shunSpan
 		}
 	}
 }
--- a/internal/mishap/mishap.go
+++ b/internal/mishap/mishap.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -15,12 +16,15 @@
 
 // Error reads as number, name, place and cause.
 func (mishap *Mishap) Error() string {
-	if mishap.cause == nil {
-		return fmt.Sprintf("%d %s: %s", mishap.Code, mishap.Code, mishap.Place)
+	text := mishap.Place
+	if mishap.cause != nil {
+		text += ": " + strings.TrimPrefix(mishap.cause.Error(), mishap.Code.prefix())
 	}
-	return fmt.Sprintf("%d %s: %s: %v", mishap.Code, mishap.Code, mishap.Place, mishap.cause)
+	return mishap.Code.prefix() + strings.TrimPrefix(text, mishap.Code.prefix())
 }
 
+func (code Code) prefix() string { return fmt.Sprintf("%d %s: ", int(code), code) }
+
 // Unwrap gives the cause.
 func (mishap *Mishap) Unwrap() error { return mishap.cause }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -25,6 +25,7 @@
 // Target says which cores to ask.
 type Target struct {
 	Cores []string `long:"core" description:"public address of a core; several are tried in turn" required:"true"`
+	Wait  int      `long:"wait" description:"seconds to go on asking while no core leads" default:"15"`
 	// Network is the machine's own if nothing else is set.
 	Network circuit.Network
 }
@@ -48,9 +49,10 @@
 	}
 	client := target.client()
 	last := mishap.New(mishap.SettingBad, "--core is needed at least once")
-	for turn := range 3 * len(target.Cores) {
+	begun := time.Now()
+	for turn := 0; turn < len(target.Cores) || time.Since(begun) < time.Duration(target.Wait)*time.Second; turn++ {
 		if turn >= len(target.Cores) {
-			time.Sleep(time.Second)
+			time.Sleep(300 * time.Millisecond)
 		}
 		address := target.Cores[turn%len(target.Cores)]
 		if failure := circuit.CheckAddress(address); failure != nil {
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -16,11 +16,14 @@
 	"coursepass/internal/engine"
 	"coursepass/internal/mishap"
 	"coursepass/internal/relay"
+	"coursepass/internal/schedule"
 )
 
 const (
 	mostTries = 3
 	lookAgain = 5 * time.Millisecond
+	// A try is never held to have stalled sooner than this.
+	leastStall = 100 * schedule.Millisecond
 )
 
 // pass runs a request until it ends. An error leaves the chart in the state that
@@ -114,7 +117,27 @@
 	return told.Code
 }
 
-func (router *Router) prefill(bounded context.Context, passing *passage, pick *catalogue.Pick) (engine.Ticket, error) {
+// watched bounds a try that may be repeated: an engine that shows nothing within
+// the larger share of what is left of the start budget has stalled. A one-shot try
+// is not given up, but its engine gets no other work from here for a while. The
+// returned function ends the watch.
+func (router *Router) watched(bounded context.Context, passing *passage, pick *catalogue.Pick) (context.Context, context.CancelFunc, func()) {
+	trying, stop := context.WithCancel(bounded)
+	stall := max((passing.start-router.clock.Now())*6/10, leastStall)
+	alarm := time.AfterFunc(stall.Duration(), func() {
+		router.Stalls.Add(1)
+		passing.table.Shun(pick.Name, router.clock.Now())
+		if !passing.template.OneShot() {
+			stop()
+		}
+	})
+	return trying, stop, func() { alarm.Stop() }
+}
+
+func (router *Router) prefill(parent context.Context, passing *passage, pick *catalogue.Pick) (engine.Ticket, error) {
+	bounded, stop, shown := router.watched(parent, passing, pick)
+	defer stop()
+	defer shown()
 	experience := catalogue.Experience{}
 	defer func() { experience.Now = router.clock.Now(); pick.Done(experience) }()
 	_ = passing.Move(relay.Prefilling)
@@ -125,19 +148,19 @@
 		PrefixTokens: passing.service.Prefixes[passing.template.Prefix].Tokens, Prompt: passing.Prompt, Budget: passing.abandon - router.clock.Now(),
 	})
 	if failure != nil {
-		experience.Mishap = bounded.Err() == nil
-		return engine.Ticket{}, router.lost(bounded, passing, pick, contract.Prefill, failure)
+		experience.Mishap = parent.Err() == nil
+		return engine.Ticket{}, router.lost(parent, passing, pick, contract.Prefill, failure)
 	}
 	defer answer.Body.Close()
 	experience.Running = running(answer)
 	if answer.StatusCode != http.StatusOK {
 		code := declinedBy(answer)
 		experience.Full = code.Unstarted()
-		return engine.Ticket{}, router.turned(bounded, passing, pick, contract.Prefill, code)
+		return engine.Ticket{}, router.turned(parent, passing, pick, contract.Prefill, code)
 	}
 	var ticket engine.Ticket
 	if json.NewDecoder(io.LimitReader(answer.Body, 64<<10)).Decode(&ticket) != nil || ticket.Run != passing.run {
-		return engine.Ticket{}, router.lost(bounded, passing, pick, contract.Prefill, mishap.New(mishap.EndingUnknown, "no ticket from %s", pick.Name))
+		return engine.Ticket{}, router.lost(parent, passing, pick, contract.Prefill, mishap.New(mishap.EndingUnknown, "no ticket from %s", pick.Name))
 	}
 	experience.Ended, experience.Prefix = true, passing.template.Prefix
 	return ticket, passing.Move(relay.HandedOver)
@@ -211,7 +234,10 @@
 	}
 }
 
-func (router *Router) make(bounded context.Context, passing *passage, reader, pick *catalogue.Pick, ticket engine.Ticket) error {
+func (router *Router) make(parent context.Context, passing *passage, reader, pick *catalogue.Pick, ticket engine.Ticket) error {
+	bounded, stop, shown := router.watched(parent, passing, pick)
+	defer stop()
+	defer shown()
 	experience := catalogue.Experience{}
 	defer func() { experience.Now = router.clock.Now(); pick.Done(experience) }()
 	_ = passing.Move(relay.Decoding)
@@ -220,33 +246,34 @@
 		Tokens: passing.Tokens, Budget: passing.abandon - router.clock.Now(),
 	})
 	if failure != nil {
-		experience.Mishap = bounded.Err() == nil
+		experience.Mishap = parent.Err() == nil
 		router.cancel(passing.run, reader.Address)
-		return router.lost(bounded, passing, pick, contract.Decode, failure)
+		return router.lost(parent, passing, pick, contract.Decode, failure)
 	}
 	defer answer.Body.Close()
 	experience.Running = running(answer)
 	if answer.StatusCode != http.StatusOK {
 		code := declinedBy(answer)
 		experience.Full = code.Unstarted() && code != mishap.TicketVoid
-		return router.turned(bounded, passing, pick, contract.Decode, code)
+		return router.turned(parent, passing, pick, contract.Decode, code)
 	}
-	failure = router.stream(passing, answer.Body, ticket)
+	failure = router.stream(passing, answer.Body, ticket, shown)
 	experience.Ended = failure == nil
 	if failure == nil {
 		return passing.Move(relay.Finished)
 	}
 	if passing.frames == 0 {
-		return router.lost(bounded, passing, pick, contract.Decode, failure)
+		experience.Mishap = parent.Err() == nil
+		return router.lost(parent, passing, pick, contract.Decode, failure)
 	}
 	router.cancel(passing.run, pick.Address)
-	go router.troubled(context.WithoutCancel(bounded), passing, pick.Name, contract.Decode, false)
+	go router.troubled(context.WithoutCancel(parent), passing, pick.Name, contract.Decode, false)
 	return failure
 }
 
 // stream relays frames of one run, in order, once the ticket was echoed; the final
 // frame goes out only when its count fits.
-func (router *Router) stream(passing *passage, body io.Reader, ticket engine.Ticket) error {
+func (router *Router) stream(passing *passage, body io.Reader, ticket engine.Ticket, shown func()) error {
 	lines := bufio.NewReaderSize(body, 4096)
 	echoed := false
 	for {
@@ -278,6 +305,7 @@
 				return failure
 			}
 			passing.frames++
+			shown()
 			if failure := passing.send(Frame{Run: passing.run, Number: frame.Number, Text: frame.Text}); failure != nil {
 				return failure
 			}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,6 +59,7 @@
 	Reads      atomic.Int64
 	ReadsShort atomic.Int64
 	Stale      atomic.Int64
+	Stalls     atomic.Int64
 }
 
 // Router is one data-plane daemon.
--- a/internal/simulation/stage_plays_test.go
+++ b/internal/simulation/stage_plays_test.go
@@ -200,3 +200,20 @@
 		}
 	})
 }
+
+// An engine of each part falls silent: what may be repeated starts elsewhere in
+// time, what may not ends honestly.
+func TestEnginesSilent(test *testing.T) {
+	play(test, func(stage *stage) {
+		figures := stage.during(12, func() {
+			stage.Isolate("engine-0", stage.names())
+			stage.Isolate("engine-5", stage.names())
+			time.Sleep(4 * time.Second)
+			stage.Heal()
+		})
+		most(test, figures, 0.97)
+		if worst := figures.Start["reply"].Worst; worst > 900_000 {
+			test.Errorf("a reply that may be repeated started only after %d µs", worst)
+		}
+	})
+}
