Pair a drained engine only after its drain order is lifted

Cause: the leader signed the contract before it sent the order that lifts the drain, so a router could send work to an engine that still drained (seen in the evacuate trial: one prefill 8 s after the drain order, declined by the engine). Engines report their standing drain; they are paired once it is gone. The evacuate play now also lets the hall back.

--- a/internal/catalogue/report.go
+++ b/internal/catalogue/report.go
@@ -21,6 +21,7 @@
 	Completed       int64                 `json:"completed"`
 	Tickets         int                   `json:"tickets"`
 	Draining        bool                  `json:"draining"`
+	Drained         bool                  `json:"drained"`
 	Round           uint64                `json:"round"`
 	OrderSequence   uint64                `json:"orderSequence"`
 	OrderViolations int64                 `json:"orderViolations"`
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -194,7 +194,7 @@
 	}
 	duty.assign(service, now, live)
 	for _, each := range live {
-		if !duty.moves(now, each) {
+		if !duty.moves(now, each) && !each.Drained {
 			candidates = append(candidates, contract.Candidate{Name: each.Name, Hall: each.Hall, Version: each.Version, Part: each.Part})
 		}
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -173,7 +173,7 @@
 		Version: engine.Version, Part: engine.part, Running: engine.running, Capacity: engine.Slots,
 		PrefillBusy: schedule.Microseconds(engine.prefillBusy.Load()), DecodeBusy: schedule.Microseconds(engine.decodeBusy.Load()),
 		Age: engine.clock.Now() - engine.born, Completed: engine.completed.Load(), Tickets: len(engine.memories),
-		Draining: engine.draining, Round: engine.Observer.Round(), OrderSequence: engine.standing.Sequence,
+		Draining: engine.draining, Drained: engine.standing.Drain, Round: engine.Observer.Round(), OrderSequence: engine.standing.Sequence,
 		OrderViolations: int64(len(engine.Observer.Violations())),
 	}
 	for prefix := range engine.prefixes {
--- a/internal/simulation/stage_plays_test.go
+++ b/internal/simulation/stage_plays_test.go
@@ -110,7 +110,7 @@
 
 func TestEvacuation(test *testing.T) {
 	play(test, func(stage *stage) {
-		figures := stage.during(16, func() {
+		figures := stage.during(18, func() {
 			evacuate := &operator.Evacuate{Change: stage.change()}
 			evacuate.Arguments.Hall = "sur"
 			if failure := evacuate.Run(); failure != nil {
@@ -122,6 +122,14 @@
 			if after := stage.begun("engine-2") + stage.begun("engine-5"); after != before {
 				test.Errorf("%d runs began in an evacuated hall after five seconds", after-before)
 			}
+			evacuate.Back = true
+			if failure := evacuate.Run(); failure != nil {
+				test.Error(failure)
+			}
+			time.Sleep(2 * time.Second)
+			if after := stage.begun("engine-2") + stage.begun("engine-5"); after == before {
+				test.Error("nothing began in a hall two seconds after its return")
+			}
 		})
 		most(test, figures, 0.99)
 	})
