Drain and move engines only after the routers have heard, name spent repeats

Cause of 'no-engine (not run)' while engines leave: the drain order came in the same turn as the contract without the engine, requests met it half changed, and the allowance of repeats of one router (5/4) was spent by the burst. Ruled out: lack of room (engines were idle).

--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -187,7 +187,9 @@
 			continue
 		}
 		if engine.Leaving || plan.Gone(engine.Hall) || known.Draining {
-			standing[name] = order.Standing{Part: known.Part, Drain: true}
+			if known.leaves(now) {
+				standing[name] = order.Standing{Part: known.Part, Drain: true}
+			}
 			continue
 		}
 		live = append(live, known)
@@ -212,17 +214,24 @@
 	return drawn, standing
 }
 
-// moves tells whether an engine is between its parts. It leaves the contract first
-// and is ordered only after the routers have had time to hear of that, so that no
-// request meets an engine that has just changed.
+// leaves notes that an engine is out of the contract, and tells whether the routers
+// have had time to hear of it, so that no request meets an engine that has just
+// changed.
+func (known *soft) leaves(now schedule.Microseconds) bool {
+	if known.moving == 0 {
+		known.moving = now
+	}
+	return now-known.moving >= moveSpan
+}
+
+// moves tells whether an engine is between its parts: out of the contract, and
+// ordered over once it has left.
 func (duty *duty) moves(now schedule.Microseconds, each *soft) bool {
 	if each.Part == contract.Both || each.Part == duty.wanted[each.Name] {
 		each.moving = 0
 		return false
 	}
-	if each.moving == 0 {
-		each.moving = now
-	}
+	each.leaves(now)
 	return true
 }
 
--- a/internal/core/duty_test.go
+++ b/internal/core/duty_test.go
@@ -30,6 +30,9 @@
 		evacuated := configuration.View{Evacuated: []string{"sur"}}
 		drawn, standing := duty.draw("s", 1, view, evacuated)
 		So(drawn.Parts, ShouldNotContainKey, "engine-2")
+		So(standing, ShouldNotContainKey, "engine-2")
+		duty.soft["engine-2"].moving -= moveSpan
+		_, standing = duty.draw("s", 1, view, evacuated)
 		So(standing["engine-2"].Drain, ShouldBeTrue)
 		duty.soft["engine-2"].Drained = true
 		drawn, standing = duty.draw("s", 1, view, configuration.View{})
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -44,25 +44,25 @@
 		if failure == nil || passing.frames > 0 {
 			return failure
 		}
-		if bounded.Err() != nil || !router.again(passing) {
+		if bounded.Err() != nil || !router.mayRepeat(passing) {
+			return failure
+		}
+		if !passing.repeats.Take() {
+			return mishap.Wrap(failure, mishap.RepeatsSpent, "no second try")
+		}
+		router.Repeats.Add(1)
+		if failure := passing.Move(relay.Enrolled); failure != nil {
 			return failure
 		}
 	}
 }
 
-// again decides whether a try that came to nothing is followed by another: with
-// proof that it did not start, or by the leader's ruling where the template lets
-// the request be repeated; and only from the budget of repeats.
-func (router *Router) again(passing *passage) bool {
+// mayRepeat tells whether a try that came to nothing may be followed by another:
+// with proof that it did not start, or by the leader's ruling where the template
+// lets the request be repeated. The budget of repeats has its say after that.
+func (router *Router) mayRepeat(passing *passage) bool {
 	proved := passing.State == relay.Matched
-	if passing.Tries >= mostTries || !proved && (passing.template.OneShot() || !passing.retry) {
-		return false
-	}
-	if !passing.repeats.Take() {
-		return false
-	}
-	router.Repeats.Add(1)
-	return passing.Move(relay.Enrolled) == nil
+	return passing.Tries < mostTries && (proved || !passing.template.OneShot() && passing.retry)
 }
 
 // find waits for an engine with room as long as the start can still be met.
