Bind slots to daemons by the log, so that cores and seeds can move

Each part keeps bindings of its slots in its own log. An owner pins the identity it hears at a seed address; a daemon without a seat asks for that of the core it replaces, and gets it in two overlapping changes once the holder has been silent for a lease. Heads carry the epoch, so that a router never counts an old holder.

Found on the way: a wake-up at 'never' overflowed and span; an isolated old holder took itself for leader and did not ask whether its seat was still its own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"hash/fnv"
 	"net"
-	"slices"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -33,8 +33,10 @@
 	setting.Place
 	setting.Inner
 	setting.Lengths
-	Data    string `long:"data" description:"data folder"`
-	Rewrite int    `long:"rewrite-mib" description:"size at which the journal is rewritten" default:"16"`
+	Data     string `long:"data" description:"data folder"`
+	Replaces string `long:"replaces" description:"name of the core whose seat it takes, if it has none; its own name if not given"`
+	Override bool   `long:"override" description:"take the seat even if its holder still answers"`
+	Rewrite  int    `long:"rewrite-mib" description:"size at which the journal is rewritten" default:"16"`
 }
 
 // Check declines settings that can't work.
@@ -50,9 +52,6 @@
 	if settings.Rewrite < 1 || settings.Rewrite > 1024 {
 		return mishap.New(mishap.SettingBad, "--rewrite-mib: %d is not between 1 and 1024", settings.Rewrite)
 	}
-	if slices.Index(settings.Seeds, settings.Inner.Inner) < 0 {
-		return mishap.New(mishap.SettingBad, "--inner: %s is not among the seeds; a core stands at a seed address", settings.Inner.Inner)
-	}
 	return nil
 }
 
@@ -61,13 +60,15 @@
 	Settings
 	senderCounters
 	machine.Machine
-	slot    int
+	seat    part.Seat
 	clock   *schedule.Clock
 	meter   *hall.Meter
 	inner   *circuit.Inner
 	journal *journal.Journal
 	gossip  *sibling.Gossip
-	senders []*sender
+	senders map[string]*sender
+	lock    sync.Mutex
+	running context.Context
 	shards  []*shard
 	duties  []*duty
 	configs *configuration.State
@@ -95,19 +96,16 @@
 			Name: settings.Place.Name, Role: machine.Core, Hall: settings.Place.Hall,
 			Inner: settings.Inner.Inner, Public: settings.Place.Public, Incarnation: incarnation,
 		},
-		slot:    slices.Index(settings.Seeds, settings.Inner.Inner),
 		clock:   schedule.NewClock(),
 		meter:   hall.NewMeter(settings.Place.Hall),
-		journal: disk,
+		journal: disk, senders: map[string]*sender{},
 	}
 	core.inner = circuit.NewInner(settings.Fleet, core.meter, network)
 	view := sibling.NewView(core.Machine, 8, 4, incarnation)
 	core.gossip = sibling.NewGossip(view, news.NewStore(nil), core.inner, settings.Seeds)
-	for _, address := range settings.Seeds {
-		core.senders = append(core.senders, &sender{
-			senderCounters: &core.senderCounters, inner: core.inner, clock: core.clock, self: core.slot,
-			address: address, delta: settings.DeltaSpan(), queue: make(chan outgoing, 256),
-		})
+	core.seat = part.Seat{Identity: string(disk.Image().Name), Name: core.Machine.Name, Address: core.Machine.Inner}
+	if core.seat.Identity == "" {
+		core.seat.Identity = rand.Text()
 	}
 	core.configs = configuration.NewState()
 	for index := range settings.Parts {
@@ -118,25 +116,45 @@
 			each.state = engines
 			core.duties = append(core.duties, newDuty(core, each, engines))
 		}
+		each.blank = each.state.Snapshot()
 		core.shards = append(core.shards, each)
 	}
 	core.serveInner()
 	return core, nil
 }
 
-func (core *Core) place(index int) part.Place {
+func (core *Core) place(index, slot int, bindings part.Bindings) part.Place {
 	lease := core.LeaseSpan()
 	return part.Place{
 		Part:  index,
-		Place: election.Place{Slots: len(core.Seeds), Self: core.slot, Delta: core.DeltaSpan()},
+		Place: election.Place{Slots: len(core.Seeds), Self: slot, Delta: core.DeltaSpan()},
 		Terms: grant.Terms{Lease: lease, Margin: lease / 20},
 		Keep:  256,
 		Life:  core.Incarnation,
+		Me:    core.seat, Bindings: bindings,
 	}
 }
 
 func (core *Core) post(context context.Context, message part.Message) {
-	core.senders[message.To].send(context, message)
+	seat := core.shards[message.Part].seats.Load().Seats[message.To]
+	if !seat.Vacant() && seat.Address != core.seat.Address {
+		core.sender(seat.Address).send(context, message)
+	}
+}
+
+func (core *Core) sender(address string) *sender {
+	core.lock.Lock()
+	defer core.lock.Unlock()
+	found, known := core.senders[address]
+	if !known {
+		found = &sender{
+			senderCounters: &core.senderCounters, inner: core.inner, clock: core.clock, self: core.seat,
+			address: address, delta: core.DeltaSpan(), queue: make(chan outgoing, 256),
+		}
+		core.senders[address] = found
+		go found.run(core.running)
+	}
+	return found
 }
 
 // Listeners are the two sockets of a daemon.
@@ -167,26 +185,21 @@
 			}
 		})
 	}
-	image := core.journal.Image()
-	pasts := make([]journal.Past, len(core.shards))
-	for index := range core.shards {
-		pasts[index] = *image.Past(index)
-	}
-	core.journal.Write([]journal.Record{{Kind: journal.Identity, Entry: journal.Entry{Data: []byte(core.Machine.Name)}}}, func() {})
+	core.running = running
+	fresh := len(core.journal.Image().Name) == 0
+	core.journal.Write([]journal.Record{{Kind: journal.Identity, Entry: journal.Entry{Data: []byte(core.seat.Identity)}}}, func() {})
 	launch(func() error { return core.journal.Run(running) })
-	for _, each := range core.senders {
+	for _, each := range core.shards {
 		launch(func() error { each.run(running); return nil })
 	}
-	for index, each := range core.shards {
-		launch(func() error { each.run(running, pasts[index]); return nil })
-	}
+	launch(func() error { core.seek(running); return nil })
 	launch(func() error { return circuit.Serve(running, listeners.Inner, core.inner, schedule.Second) })
 	launch(func() error { return circuit.Serve(running, listeners.Public, core.public(), schedule.Second) })
 	launch(func() error { core.gossip.Run(running); return nil })
 	for _, each := range core.duties {
 		launch(func() error { each.run(running); return nil })
 	}
-	log.Info().Str("core", core.Machine.Name).Int("slot", core.slot).Bool("new", len(image.Name) == 0).Msg("core runs")
+	log.Info().Str("core", core.Machine.Name).Str("identity", core.seat.Identity).Bool("new", fresh).Msg("core runs")
 	group.Wait()
 	select {
 	case failure := <-ended:
@@ -200,18 +213,16 @@
 	circuit.Answer(core.inner, deliverPath, func(context context.Context, parcel *Parcel) (*link.Reading, error) {
 		now := core.clock.Now()
 		reading := &link.Reading{Incarnation: core.Incarnation, Clock: now}
-		if parcel.From < 0 || parcel.From >= len(core.senders) {
-			return nil, mishap.New(mishap.Garbage, "slot %d", parcel.From)
-		}
 		age, judged := parcel.Age(now, core.Incarnation)
 		for _, message := range parcel.Messages {
 			switch {
-			case message.From != parcel.From || message.To != core.slot || message.Part < 0 || message.Part >= len(core.shards):
+			case message.Part < 0 || message.Part >= len(core.shards):
 				core.inner.Garbage.Add(1)
 			case message.Kind == part.Elect && (!judged || age > core.DeltaSpan()):
 				core.Late.Add(1)
 			default:
 				core.Taken.Add(1)
+				message.Sender = parcel.Sender
 				core.shards[message.Part].receive(context, message)
 			}
 		}
@@ -219,4 +230,5 @@
 	})
 	core.serveRouters()
 	core.serveErrands()
+	core.serveJoins()
 }
--- a/internal/core/heads.go
+++ b/internal/core/heads.go
@@ -28,13 +28,14 @@
 // majority read.
 type PartHead struct {
 	news.Head
+	Slot       int
+	Epoch      uint64
 	Current    bool
 	Recovering bool
 }
 
 // HeadsAnswer is one core's heads.
 type HeadsAnswer struct {
-	Slot  int
 	Parts []PartHead
 	Soft  []catalogue.Report
 }
@@ -72,10 +73,11 @@
 func (core *Core) serveRouters() {
 	circuit.Answer(core.inner, HeadsPath, func(_ context.Context, question *HeadsQuestion) (*HeadsAnswer, error) {
 		core.meter.Know(question.From.Inner, question.From.Hall)
-		answer := &HeadsAnswer{Slot: core.slot}
+		answer := &HeadsAnswer{}
 		for _, shard := range core.shards {
 			found := PartHead{Head: news.Head{Part: shard.index}}
 			if status := shard.status.Load(); status != nil {
+				found.Slot, found.Epoch = status.Slot, status.Epoch
 				found.Current, found.Recovering = status.Current, status.Recovering
 				found.Index, found.Sequence = status.Commit, status.Sequence
 			}
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -51,15 +51,15 @@
 	defer cancel()
 	shard := core.shards[errand.part(core.Parts)]
 	status := shard.status.Load()
-	if status == nil || status.Leader < 0 || status.Leader != core.slot && errand.Relayed {
+	if status == nil || status.Leader < 0 || status.Leader != status.Slot && errand.Relayed {
 		return nil, mishap.New(mishap.NotOwner, "part %d has no leader here", shard.index)
 	}
-	if status.Leader == core.slot {
+	if status.Leader == status.Slot {
 		return core.perform(bounded, shard, errand)
 	}
 	relayed := *errand
 	relayed.Relayed = true
-	answer, failure := circuit.Call[Errand, Errands](bounded, core.inner, core.Seeds[status.Leader], operatePath, operateBudget, &relayed)
+	answer, failure := circuit.Call[Errand, Errands](bounded, core.inner, shard.seats.Load().Seats[status.Leader].Address, operatePath, operateBudget, &relayed)
 	if failure != nil {
 		return nil, mishap.Wrap(failure, mishap.OutcomeUnknown, "the leading core did not answer")
 	}
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -30,7 +30,7 @@
 type Overview struct {
 	Name     string           `json:"name"`
 	Hall     string           `json:"hall"`
-	Slot     int              `json:"slot"`
+	Identity string           `json:"identity"`
 	Parts    []Status         `json:"parts"`
 	Counters map[string]int64 `json:"counters"`
 }
@@ -82,7 +82,7 @@
 }
 
 func (core *Core) overview() Overview {
-	overview := Overview{Name: core.Machine.Name, Hall: core.Machine.Hall, Slot: core.slot, Counters: core.counters()}
+	overview := Overview{Name: core.Machine.Name, Hall: core.Machine.Hall, Identity: core.seat.Identity, Counters: core.counters()}
 	for _, shard := range core.shards {
 		if status := shard.status.Load(); status != nil {
 			overview.Parts = append(overview.Parts, *status)
--- a/internal/core/sender.go
+++ b/internal/core/sender.go
@@ -16,7 +16,7 @@
 // Parcel is a few messages of parts with the stamp of their sending.
 type Parcel struct {
 	link.Stamp
-	From     int
+	Sender   part.Seat
 	Messages []part.Message
 }
 
@@ -33,13 +33,13 @@
 	Taken   atomic.Int64
 }
 
-// sender carries the messages of all parts to one other slot. Election messages
+// sender carries the messages of all parts to one other core. Election messages
 // go each on their own, so that nothing before them can hold them up.
 type sender struct {
 	*senderCounters
 	inner   *circuit.Inner
 	clock   *schedule.Clock
-	self    int
+	self    part.Seat
 	address string
 	delta   schedule.Microseconds
 	queue   chan outgoing
@@ -84,10 +84,10 @@
 func (sender *sender) deliver(context context.Context, at, budget schedule.Microseconds, messages []part.Message) {
 	stamp := sender.stamp(at)
 	if !stamp.Known {
-		sender.call(context, budget, &Parcel{From: sender.self})
+		sender.call(context, budget, &Parcel{Sender: sender.self})
 		stamp = sender.stamp(at)
 	}
-	if !sender.call(context, budget, &Parcel{Stamp: stamp, From: sender.self, Messages: messages}) {
+	if !sender.call(context, budget, &Parcel{Stamp: stamp, Sender: sender.self, Messages: messages}) {
 		sender.Dropped.Add(int64(len(messages)))
 		return
 	}
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -27,11 +27,13 @@
 type Status struct {
 	Part       int                   `json:"part"`
 	Slot       int                   `json:"slot"`
+	Epoch      uint64                `json:"epoch"`
 	Leader     int                   `json:"leader"`
 	Round      uint64                `json:"round"`
 	Promised   uint64                `json:"promised"`
 	Commit     uint64                `json:"commit"`
 	Sequence   uint64                `json:"sequence"`
+	Alone      bool                  `json:"alone"`
 	Owner      bool                  `json:"owner"`
 	Current    bool                  `json:"current"`
 	Recovering bool                  `json:"recovering"`
@@ -46,29 +48,82 @@
 	index   int
 	member  *part.Member
 	state   replica
+	blank   []byte
+	begun   uint64
 	lock    sync.Mutex
 	waiting map[spot]chan []byte
 	status  atomic.Pointer[Status]
+	seats   atomic.Pointer[part.Bindings]
 	right   atomic.Pointer[order.Right]
 	head    atomic.Pointer[news.Head]
 }
 
-func (shard *shard) run(context context.Context, past journal.Past) {
-	place := shard.core.place(shard.index)
-	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), false)
-	shard.member = member
-	shard.carry(context, output)
+func (shard *shard) run(context context.Context) {
+	founding := part.Founding(shard.core.Seeds)
+	shard.begin(context, founding)
 	shard.Run(context, func(step func()) schedule.Microseconds {
 		step()
-		return member.Next()
+		return shard.next(context)
 	}, func() schedule.Microseconds {
-		shard.carry(context, member.Wake(shard.Clock.Now()))
-		return member.Next()
+		if shard.member != nil {
+			shard.carry(context, shard.member.Wake(shard.Clock.Now()))
+		}
+		return shard.next(context)
 	})
 }
 
+// begin starts the member that the bindings give to this daemon, if any; its own
+// disk may know later ones.
+func (shard *shard) begin(context context.Context, bindings part.Bindings) {
+	past := shard.core.journal.Past(shard.index)
+	if held, read := part.LastBindings(past); read && held.Epoch >= bindings.Epoch {
+		bindings = held
+	}
+	shard.seats.Store(&bindings)
+	slot := bindings.Slot(shard.core.seat)
+	if slot < 0 {
+		shard.status.Store(&Status{Part: shard.index, Slot: slot, Leader: -1})
+		return
+	}
+	shard.state.Restore(shard.blank)
+	shard.begun++
+	place := shard.core.place(shard.index, slot, bindings)
+	place.Life += shard.begun
+	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), false)
+	shard.member = member
+	shard.carry(context, output)
+}
+
+// next also ends a member whose seat is another's.
+func (shard *shard) next(context context.Context) schedule.Microseconds {
+	if shard.member == nil {
+		return schedule.Never
+	}
+	if shard.member.Unbound() {
+		shard.end(shard.member.Bindings())
+		return schedule.Never
+	}
+	if shard.member.Owns() {
+		shard.carry(context, shard.member.Pin(shard.Clock.Now()))
+	}
+	return shard.member.Next()
+}
+
+func (shard *shard) end(bindings part.Bindings) {
+	log.Warn().Str("core", shard.core.Machine.Name).Int("part", shard.index).Uint64("epoch", bindings.Epoch).Msg("this core has no seat any more")
+	shard.settle(part.Output{Lost: true})
+	shard.member = nil
+	shard.seats.Store(&bindings)
+	shard.right.Store(nil)
+	shard.status.Store(&Status{Part: shard.index, Slot: -1, Leader: -1})
+}
+
 func (shard *shard) receive(context context.Context, message part.Message) {
-	shard.Put(context, func() { shard.carry(context, shard.member.Receive(shard.Clock.Now(), message)) })
+	shard.Put(context, func() {
+		if shard.member != nil {
+			shard.carry(context, shard.member.Receive(shard.Clock.Now(), message))
+		}
+	})
 }
 
 // What others read is shown before anything is answered, so that whoever hears an
@@ -79,9 +134,10 @@
 		shard.core.post(context, message)
 	}
 	if len(output.Records)+len(output.Held) > 0 {
+		slot := shard.member.Self
 		shard.core.journal.Write(output.Records, func() {
 			for _, message := range output.Held {
-				if message.To == shard.core.slot {
+				if message.To == slot {
 					go shard.receive(context, message)
 					continue
 				}
@@ -113,11 +169,13 @@
 // show publishes what others read: status, right, head and news.
 func (shard *shard) show(context context.Context, applied bool) {
 	member, now := shard.member, shard.Clock.Now()
+	seats := member.Bindings()
+	shard.seats.Store(&seats)
 	leader, round := member.Leader()
 	commit, current := member.Current()
 	status := &Status{
-		Part: shard.index, Slot: shard.core.slot, Leader: leader, Round: round, Promised: member.Round(),
-		Commit: commit, Sequence: shard.state.Number(), Owner: member.Owns(), Current: current, Recovering: member.Recovering(),
+		Part: shard.index, Slot: member.Self, Epoch: seats.Epoch, Leader: leader, Round: round, Promised: member.Round(),
+		Commit: commit, Sequence: shard.state.Number(), Alone: member.Alone(now), Owner: member.Owns(), Current: current, Recovering: member.Recovering(),
 	}
 	var right *order.Right
 	if holder := member.Holder(); holder != nil && member.Owns() {
@@ -132,8 +190,8 @@
 			Bool("owner", status.Owner).Bool("recovering", status.Recovering).Msg("part")
 	}
 	if applied && commit > 0 {
-		head := news.Head{Part: shard.index, Index: member.Applied(), Round: member.AppliedRound(), Sequence: status.Sequence}
-		item := news.Item{Head: head, Data: shard.state.Snapshot()}
+		head := news.Head{Part: shard.index, Index: member.Applied(), Round: member.AppliedRound(), Sequence: status.Sequence, Epoch: seats.Epoch}
+		item := news.Item{Head: head, Data: member.Capture()}
 		shard.head.Store(&head)
 		go shard.core.gossip.Publish(context, item)
 	}
@@ -147,7 +205,7 @@
 	}
 	answer := make(chan placed, 1)
 	queued := shard.Put(context, func() {
-		if !shard.member.Owns() {
+		if shard.member == nil || !shard.member.Owns() {
 			answer <- placed{nil, mishap.New(mishap.NotOwner, "part %d", shard.index)}
 			return
 		}
@@ -203,7 +261,7 @@
 // offer hands a router's copy of the part to a member that recovers.
 func (shard *shard) offer(context context.Context, item news.Item) {
 	shard.Put(context, func() {
-		if shard.member.Recovering() {
+		if shard.member != nil && shard.member.Recovering() {
 			log.Warn().Str("core", shard.core.Machine.Name).Int("part", shard.index).Uint64("index", item.Index).Msg("copy offered by a router")
 			shard.member.Offer(journal.Entry{Index: item.Index, Round: item.Round, Data: item.Data})
 		}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -7,13 +7,18 @@
 	"sync/atomic"
 )
 
-// Head names a part's state: the log index it stands at, that entry's round, and
-// the state's own sequence.
+// Head names a part's state: the log index it stands at, that entry's round, the
+// state's own sequence, and the epoch of the part's bindings.
 type Head struct {
 	Part     int
 	Index    uint64
 	Round    uint64
 	Sequence uint64
+	Epoch    uint64
+}
+
+func (head Head) same(other Head) bool {
+	return head.Sequence == other.Sequence && head.Epoch == other.Epoch
 }
 
 // Item is a part's whole state under its head.
@@ -55,7 +60,8 @@
 	return &Store{items: map[int]Item{}, changed: changed}
 }
 
-// Take keeps an item if it is newer than the one held, and says whether it was.
+// Take keeps an item if it is newer than the one held, and says whether its state is
+// new here as well.
 func (store *Store) Take(item Item) bool {
 	store.lock.Lock()
 	defer store.lock.Unlock()
@@ -64,17 +70,18 @@
 		store.Known.Add(1)
 		return false
 	}
-	if known && item.Sequence == held.Sequence {
+	if known && item.same(held.Head) {
 		item.Data = held.Data
 	} else if item.Data == nil {
 		return false
 	}
+	fresh := !known || !item.same(held.Head)
 	store.items[item.Part] = item
 	store.Taken.Add(1)
-	if store.changed != nil && (!known || item.Sequence > held.Sequence) {
+	if fresh && store.changed != nil {
 		store.changed(item)
 	}
-	return true
+	return fresh
 }
 
 // Sequence is the sequence held for a part; false when none is.
@@ -120,7 +127,7 @@
 		if known && head.Index >= item.Index {
 			continue
 		}
-		if known && head.Sequence == item.Sequence {
+		if known && head.same(item.Head) {
 			item.Data = nil
 		}
 		answer.Items = append(answer.Items, item)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -275,10 +275,10 @@
 			continue
 		}
 		reached++
-		fmt.Printf("%s  %s  hall %s  slot %d\n", address, overview.Name, overview.Hall, overview.Slot)
+		fmt.Printf("%s  %s  hall %s  identity %s\n", address, overview.Name, overview.Hall, overview.Identity)
 		for _, part := range overview.Parts {
-			fmt.Printf("  part %d  leader %d  round %d  owner %t  current %t  recovering %t  commit %d  sequence %d  grant left %d ms\n",
-				part.Part, part.Leader, part.Round, part.Owner, part.Current, part.Recovering, part.Commit, part.Sequence, part.GrantLeft/1000)
+			fmt.Printf("  part %d  slot %d  epoch %d  leader %d  round %d  owner %t  current %t  recovering %t  commit %d  sequence %d  grant left %d ms\n",
+				part.Part, part.Slot, part.Epoch, part.Leader, part.Round, part.Owner, part.Current, part.Recovering, part.Commit, part.Sequence, part.GrantLeft/1000)
 		}
 	}
 	if reached == 0 {
--- a/internal/part/accepting.go
+++ b/internal/part/accepting.go
@@ -59,7 +59,10 @@
 		member.hold(answer)
 		return
 	}
-	member.record(member.merge(member.Part, message.Entries)...)
+	if records := member.merge(member.Part, message.Entries); len(records) > 0 {
+		member.record(records...)
+		member.rebind()
+	}
 	answer.Accepted, answer.Index = true, message.Index+uint64(len(message.Entries))
 	if message.From != member.Self {
 		member.advance(min(message.Commit, answer.Index))
--- /dev/null
+++ b/internal/part/binding.go
@@ -0,0 +1,197 @@
+package part
+
+import (
+	"bytes"
+	"encoding/gob"
+	"slices"
+
+	"coursepass/internal/election"
+	"coursepass/internal/journal"
+	"coursepass/internal/schedule"
+)
+
+// Seat binds a slot to a daemon: the identity of its data folder, its name and its
+// inner address. A seat without an identity belongs to whoever stands at its
+// address; one without an address is vacant.
+type Seat struct {
+	Identity string
+	Name     string
+	Address  string
+}
+
+// Vacant tells whether nobody has the seat.
+func (seat Seat) Vacant() bool { return seat.Address == "" }
+
+func (seat Seat) holds(other Seat) bool {
+	if seat.Identity != "" {
+		return seat.Identity == other.Identity
+	}
+	return !seat.Vacant() && seat.Address == other.Address
+}
+
+// Bindings say who has each slot. Each change is one entry of the part's own log
+// and has the next epoch; as in any log with changing voters, the last one held
+// counts, whether or not it is committed.
+type Bindings struct {
+	Epoch uint64
+	Seats []Seat
+}
+
+// Founding are the bindings of a new fleet: the seeds in their order.
+func Founding(seeds []string) Bindings {
+	bindings := Bindings{}
+	for _, seed := range seeds {
+		bindings.Seats = append(bindings.Seats, Seat{Address: seed})
+	}
+	return bindings
+}
+
+// Slot is the slot of a daemon, or -1.
+func (bindings Bindings) Slot(daemon Seat) int {
+	return slices.IndexFunc(bindings.Seats, func(seat Seat) bool { return seat.holds(daemon) })
+}
+
+func (bindings Bindings) with(slot int, seat Seat) Bindings {
+	seats := slices.Clone(bindings.Seats)
+	seats[slot] = seat
+	return Bindings{Epoch: bindings.Epoch + 1, Seats: seats}
+}
+
+const (
+	operationTag byte = iota
+	bindingsTag
+)
+
+type packed struct {
+	Bindings Bindings
+	State    []byte
+}
+
+func encode(value any) []byte {
+	var buffer bytes.Buffer
+	if failure := gob.NewEncoder(&buffer).Encode(value); failure != nil {
+		panic(failure)
+	}
+	return buffer.Bytes()
+}
+
+// Unpack splits a capture into bindings and state.
+func Unpack(capture []byte) (Bindings, []byte, bool) {
+	var found packed
+	failure := gob.NewDecoder(bytes.NewReader(capture)).Decode(&found)
+	return found.Bindings, found.State, failure == nil
+}
+
+func readBindings(entry journal.Entry) (Bindings, bool) {
+	var found Bindings
+	if len(entry.Data) == 0 || entry.Data[0] != bindingsTag {
+		return found, false
+	}
+	failure := gob.NewDecoder(bytes.NewReader(entry.Data[1:])).Decode(&found)
+	return found, failure == nil
+}
+
+// LastBindings are the last that a disk holds.
+func LastBindings(past journal.Past) (Bindings, bool) {
+	for place := range slices.Backward(past.Entries) {
+		if found, yes := readBindings(past.Entries[place]); yes {
+			return found, true
+		}
+	}
+	found, _, read := Unpack(past.Base.Data)
+	return found, read && len(found.Seats) > 0
+}
+
+// Bindings are those that count here now.
+func (member *Member) Bindings() Bindings { return member.bindings }
+
+// Capture is the applied state with the bindings that were committed with it.
+func (member *Member) Capture() []byte {
+	return encode(packed{member.settledBindings, member.state.Snapshot()})
+}
+
+// rebind finds the last bindings in the log again, after the log has changed.
+func (member *Member) rebind() {
+	member.bindings = member.settledBindings
+	if found, yes := LastBindings(member.Past); yes {
+		member.bindings = found
+	}
+}
+
+// Unbound tells whether this member's slot is another's now.
+func (member *Member) Unbound() bool { return member.bindings.Slot(member.Me) != member.Self }
+
+// stranger tells whether an election's message is of a daemon that has no right to
+// the slot it speaks for. What a sender with later bindings says is believed.
+func (member *Member) stranger(message Message) bool {
+	return message.Epoch <= member.bindings.Epoch && !member.sits(message)
+}
+
+func (member *Member) sits(message Message) bool {
+	return member.bindings.Seats[message.From].holds(message.Sender)
+}
+
+func (member *Member) mayRebind() bool {
+	return member.Owns() && member.bindings.Epoch == member.settledBindings.Epoch && member.settled >= member.commit
+}
+
+func (member *Member) writeBindings(now schedule.Microseconds, bindings Bindings) Output {
+	member.write(append([]byte{bindingsTag}, encode(bindings)...))
+	member.rebind()
+	member.replicate(now)
+	return member.take()
+}
+
+// Pin gives a seat that belongs to an address to the identity that was heard there,
+// once: from then on nobody else has the slot without a change of bindings.
+func (member *Member) Pin(now schedule.Microseconds) Output {
+	if !member.mayRebind() {
+		return Output{}
+	}
+	for slot, seat := range member.bindings.Seats {
+		heard := member.others[slot].sender
+		if seat.Identity == "" && !seat.Vacant() && heard.Identity != "" && heard.Address == seat.Address {
+			return member.writeBindings(now, member.bindings.with(slot, heard))
+		}
+	}
+	return Output{}
+}
+
+// Absent is how long the daemon of a slot has not answered this leader.
+func (member *Member) Absent(now schedule.Microseconds, slot int) schedule.Microseconds {
+	return now - member.others[slot].heard
+}
+
+// Alone tells whether this member hears too little to know that its seat is still
+// its own: as leader no majority, else no leader that has shown it the log.
+func (member *Member) Alone(now schedule.Microseconds) bool {
+	leader, _ := member.election.Leader()
+	if member.stage != leading {
+		return leader == election.Nobody || leader == member.Self || !member.current
+	}
+	heard := 0
+	for slot := range member.others {
+		if member.Absent(now, slot) < member.Lease {
+			heard++
+		}
+	}
+	return heard < member.majority()
+}
+
+// Replace gives a slot to another daemon, in two changes that each overlap with the
+// bindings before: first the seat is vacated, then it is given. All other seats
+// must be held by daemons that answer. It says whether a change was begun.
+func (member *Member) Replace(now schedule.Microseconds, slot int, daemon Seat, patience schedule.Microseconds) (bool, Output) {
+	if !member.mayRebind() || slot == member.Self || slot < 0 || slot >= member.Slots || member.bindings.Slot(daemon) >= 0 {
+		return false, Output{}
+	}
+	for other, seat := range member.bindings.Seats {
+		if other != slot && (seat.Vacant() || other != member.Self && member.Absent(now, other) > patience) {
+			return false, Output{}
+		}
+	}
+	if !member.bindings.Seats[slot].Vacant() {
+		return true, member.writeBindings(now, member.bindings.with(slot, Seat{}))
+	}
+	return true, member.writeBindings(now, member.bindings.with(slot, daemon))
+}
--- a/internal/part/leading.go
+++ b/internal/part/leading.go
@@ -12,13 +12,14 @@
 	member.stage, member.mine, member.heartbeat = preparing, round, now
 	member.promises = map[int]Message{}
 	for slot := range member.Slots {
-		message := Message{To: slot, Kind: Prepare, Round: round, Index: member.commit}
+		message := Message{
+			Part: member.Part, From: member.Self, To: slot, Kind: Prepare, Round: round, Index: member.commit,
+			Epoch: member.bindings.Epoch,
+		}
 		if slot != member.Self {
-			message.Part, message.From = member.Part, member.Self
 			member.output.Urgent = append(member.output.Urgent, message)
 			continue
 		}
-		message.From = member.Self
 		member.promise(message)
 	}
 }
@@ -27,7 +28,7 @@
 	if message.Promised > max(message.Round, member.Promised) {
 		member.overtaken(now, message.From, message.Promised)
 	}
-	if member.stage != preparing || message.Round != member.mine || !message.Accepted {
+	if member.stage != preparing || message.Round != member.mine || !message.Accepted || !member.sits(message) {
 		return
 	}
 	member.promises[message.From] = message
@@ -55,11 +56,13 @@
 	if last, _ := member.Last(); last > best.Index {
 		member.Entries = member.Entries[:best.Index-member.Base.Index]
 	}
+	member.rebind()
 }
 
 func (member *Member) install(base journal.Entry) {
 	member.record(member.rebase(member.Part, base))
-	member.state.Restore(base.Data)
+	member.restore(base.Data)
+	member.rebind()
 	member.applied = base.Index
 	member.output.Applied = true
 }
@@ -72,7 +75,7 @@
 	last, _ := member.Last()
 	member.first, member.settled = last+1, member.commit
 	for slot := range member.others {
-		member.others[slot].next = last + 1
+		member.others[slot].next, member.others[slot].heard = last+1, now
 	}
 	member.write(nil)
 	member.replicate(now)
@@ -91,6 +94,9 @@
 	if !member.Owns() {
 		return 0, 0, false, Output{}
 	}
+	if len(operation) > 0 {
+		operation = append([]byte{operationTag}, operation...)
+	}
 	index = member.write(operation)
 	member.replicate(now)
 	return index, member.mine, true, member.take()
@@ -119,7 +125,7 @@
 	other := &member.others[slot]
 	message := Message{
 		To: slot, Kind: Append, Round: member.mine, Commit: member.commit,
-		Established: member.established(), Asked: now, Life: other.life,
+		Established: member.established(), Asked: now, Life: other.life, Part: member.Part, From: member.Self, Epoch: member.bindings.Epoch,
 	}
 	if other.next <= member.Base.Index {
 		message.Base = member.Base
@@ -135,11 +141,9 @@
 	other.next += uint64(len(message.Entries))
 	other.sent, other.waiting = now, true
 	if slot == member.Self {
-		message.Part, message.From = member.Part, member.Self
 		member.append(now, message)
 		return
 	}
-	message.Part, message.From = member.Part, member.Self
 	member.output.Urgent = append(member.output.Urgent, message)
 }
 
@@ -147,11 +151,14 @@
 	if message.Promised > max(message.Round, member.Promised) {
 		member.overtaken(now, message.From, message.Promised)
 	}
-	if member.stage != leading || message.Round != member.mine {
+	if member.stage != leading || message.Round != member.mine || !member.sits(message) {
 		return
 	}
 	other := &member.others[message.From]
-	other.life = message.Life
+	if other.sender != message.Sender {
+		*other = follower{next: member.Base.Index + 1, sender: message.Sender}
+	}
+	other.life, other.heard = message.Life, now
 	if message.Granted {
 		member.holder.Gain(now, message.From, message.Asked)
 	}
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -33,12 +33,17 @@
 	heartbeat schedule.Microseconds
 	recovery  *recovery
 	answers   []Result
-	output    Output
+	bindings  Bindings
+	// settledBindings are those of the applied part of the log.
+	settledBindings Bindings
+	output          Output
 }
 
 type follower struct {
 	matched, next, knows uint64
 	life                 uint64
+	sender               Seat
+	heard                schedule.Microseconds
 	sent                 schedule.Microseconds
 	waiting              bool
 }
@@ -50,9 +55,11 @@
 	founding = founding && !past.Whole
 	member := &Member{Place: place, state: state, ledger: ledger{Past: past}}
 	member.commit, member.applied = past.Base.Index, past.Base.Index
+	member.settledBindings = place.Bindings
 	if past.Base.Index > 0 {
-		state.Restore(past.Base.Data)
+		member.restore(past.Base.Data)
 	}
+	member.rebind()
 	member.voter = grant.NewVoter(place.Terms, now, founding)
 	machine, sends := election.Start(place.Place, now, past.Promised, !founding)
 	member.election = machine
@@ -116,13 +123,16 @@
 func (member *Member) post(sends []election.Send) {
 	for _, send := range sends {
 		member.output.Urgent = append(member.output.Urgent, Message{
-			Part: member.Part, From: member.Self, To: send.To, Kind: Elect, Election: send.Message,
+			Part: member.Part, From: member.Self, To: send.To, Kind: Elect, Election: send.Message, Epoch: member.bindings.Epoch,
 		})
 	}
 }
 
 func (member *Member) hold(message Message) {
-	message.Part, message.From = member.Part, member.Self
+	message.Part, message.From, message.Epoch = member.Part, member.Self, member.bindings.Epoch
+	if message.To == member.Self {
+		message.Sender = member.Me
+	}
 	member.output.Held = append(member.output.Held, message)
 }
 
@@ -132,11 +142,14 @@
 
 // Receive takes one message.
 func (member *Member) Receive(now schedule.Microseconds, message Message) Output {
-	if message.Part != member.Part || message.From < 0 || message.From >= member.Slots {
+	if message.Part != member.Part || message.To != member.Self || message.From < 0 || message.From >= member.Slots {
 		return Output{}
 	}
 	switch message.Kind {
 	case Elect:
+		if member.stranger(message) {
+			return Output{}
+		}
 		member.post(member.election.Receive(now, message.From, message.Election))
 	case Prepare:
 		member.promise(message)
@@ -192,6 +205,17 @@
 	}
 }
 
+func (member *Member) restore(capture []byte) {
+	bindings, state, read := Unpack(capture)
+	if !read {
+		return
+	}
+	if len(bindings.Seats) == member.Slots {
+		member.settledBindings = bindings
+	}
+	member.state.Restore(state)
+}
+
 // step goes back to following.
 func (member *Member) step(schedule.Microseconds) {
 	member.output.Lost = member.stage == leading
@@ -216,8 +240,10 @@
 			break
 		}
 		var answer []byte
-		if len(entry.Data) > 0 {
-			answer = member.state.Apply(entry.Data)
+		if found, yes := readBindings(entry); yes {
+			member.settledBindings = found
+		} else if len(entry.Data) > 0 {
+			answer = member.state.Apply(entry.Data[1:])
 		}
 		member.applied++
 		member.output.Applied = true
@@ -228,7 +254,7 @@
 	if kept := member.applied - member.Base.Index; member.applied > member.Base.Index && kept > uint64(member.Keep) {
 		entry, _ := member.at(member.applied)
 		member.record(member.rebase(member.Part, journal.Entry{
-			Index: member.applied, Round: entry.Round, Data: member.state.Snapshot(),
+			Index: member.applied, Round: entry.Round, Data: member.Capture(),
 		}))
 	}
 }
--- a/internal/part/message.go
+++ b/internal/part/message.go
@@ -46,6 +46,10 @@
 	// Life is the answering slot's life, and in Append the last life that the
 	// leader heard from the slot it writes to.
 	Life uint64
+	// Sender is the daemon that speaks, set by whoever received the message; Epoch
+	// is that of its bindings.
+	Sender Seat
+	Epoch  uint64
 }
 
 // State is what a part's log builds.
@@ -94,6 +98,9 @@
 	Keep int
 	// Life tells this life of the member from earlier ones.
 	Life uint64
+	// Me is this daemon, and Bindings those it starts with if its disk has none.
+	Me       Seat
+	Bindings Bindings
 }
 
 func (place Place) majority() int { return place.Slots/2 + 1 }
--- a/internal/part/part_test.go
+++ b/internal/part/part_test.go
@@ -12,8 +12,12 @@
 	"coursepass/internal/simulation"
 )
 
+func seats() []part.Seat {
+	return []part.Seat{{Identity: "0", Address: "0"}, {Identity: "1", Address: "1"}, {Identity: "2", Address: "2"}}
+}
+
 func follower(life uint64) *part.Member {
-	place := part.Place{Place: election.Place{Slots: 3, Self: 2, Delta: simulation.Delta}, Terms: simulation.Terms, Keep: 24, Life: life}
+	place := part.Place{Place: election.Place{Slots: 3, Self: 2, Delta: simulation.Delta}, Terms: simulation.Terms, Keep: 24, Life: life, Me: seats()[2], Bindings: part.Bindings{Seats: seats()}}
 	member, _ := part.Start(place, &simulation.Book{}, journal.Past{Whole: true, Promised: 3}, schedule.Second, false)
 	return member
 }
@@ -40,7 +44,7 @@
 			So(output.Held, ShouldBeEmpty)
 			So(member.Round(), ShouldEqual, 3)
 		}
-		member.Receive(schedule.Second, part.Message{Kind: part.Elect, From: 0, To: 2, Election: election.Message{Kind: election.START, Round: 9}})
+		member.Receive(schedule.Second, part.Message{Kind: part.Elect, From: 0, To: 2, Sender: seats()[0], Election: election.Message{Kind: election.START, Round: 9}})
 		output := member.Receive(schedule.Second, part.Message{Kind: part.Prepare, From: 0, To: 2, Round: 9})
 		So(output.Held, ShouldHaveLength, 1)
 		So(output.Records, ShouldHaveLength, 1)
@@ -50,7 +54,7 @@
 
 func TestAMemberThatLostItsDiskIsMute(test *testing.T) {
 	Convey("without a promise on disk it neither promises, accepts nor grants", test, func() {
-		place := part.Place{Place: election.Place{Slots: 3, Self: 2, Delta: simulation.Delta}, Terms: simulation.Terms, Keep: 24, Life: 1}
+		place := part.Place{Place: election.Place{Slots: 3, Self: 2, Delta: simulation.Delta}, Terms: simulation.Terms, Keep: 24, Life: 1, Me: seats()[2], Bindings: part.Bindings{Seats: seats()}}
 		member, _ := part.Start(place, &simulation.Book{}, journal.Past{Entries: []journal.Entry{{Index: 1}}}, schedule.Second, false)
 		So(member.Recovering(), ShouldBeTrue)
 		for _, kind := range []part.Kind{part.Prepare, part.Append} {
@@ -60,7 +64,7 @@
 		}
 		tell := part.Message{Kind: part.Tell, To: 2, Promised: 7, Index: 1, IndexRound: 7, Entries: []journal.Entry{{Index: 1, Round: 7}}}
 		for _, from := range []int{0, 1} {
-			tell.From = from
+			tell.From, tell.Sender = from, seats()[from]
 			member.Receive(schedule.Second, tell)
 		}
 		So(member.Recovering(), ShouldBeTrue)
--- a/internal/part/recovery.go
+++ b/internal/part/recovery.go
@@ -44,7 +44,12 @@
 	member.recovery.highest = max(member.recovery.highest, found.Promised, found.IndexRound)
 }
 
+// tell answers only a daemon that has its seat here: whoever then recovers knows
+// that these bindings have reached a majority of the others.
 func (member *Member) tell(message Message) {
+	if !member.sits(message) {
+		return
+	}
 	answer := Message{To: message.From, Kind: Tell, Promised: member.Promised, Commit: member.commit, Recovering: member.recovery != nil}
 	answer.Index, answer.IndexRound = member.Last()
 	answer.Base, answer.Entries = member.Base, member.Entries
@@ -52,7 +57,7 @@
 }
 
 func (member *Member) told(now schedule.Microseconds, message Message) {
-	if member.recovery == nil {
+	if member.recovery == nil || !member.sits(message) {
 		return
 	}
 	member.recovery.answers[message.From] = message
@@ -86,6 +91,7 @@
 		member.install(best.Base)
 	}
 	member.record(member.merge(member.Part, best.Entries)...)
+	member.rebind()
 	member.raise(recovery.highest)
 	member.record(journal.Record{Kind: journal.Promise, Part: member.Part, Entry: journal.Entry{Round: member.Promised}})
 	member.election.Lift()
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -46,14 +48,20 @@
 }
 
 // Read takes the answers of cores to a read begun at a moment; false when they are
-// no majority for some part. Only current answers count.
+// no majority for some part. Only current answers count, and of those only the ones
+// with the latest bindings: a core whose seat went to another may not know it yet.
 func (gate *Gate) Read(begun schedule.Microseconds, answers []core.HeadsAnswer) bool {
 	targets := make([]uint64, gate.parts)
 	for part := range gate.parts {
-		heard := map[int]bool{}
+		heard, epoch := map[int]bool{}, uint64(0)
 		for _, answer := range answers {
-			if part < len(answer.Parts) && answer.Parts[part].Current {
-				heard[answer.Slot] = true
+			if part < len(answer.Parts) {
+				epoch = max(epoch, answer.Parts[part].Epoch)
+			}
+		}
+		for _, answer := range answers {
+			if part < len(answer.Parts) && answer.Parts[part].Current && answer.Parts[part].Epoch == epoch {
+				heard[answer.Parts[part].Slot] = true
 				targets[part] = max(targets[part], answer.Parts[part].Sequence)
 			}
 		}
@@ -120,8 +128,9 @@
 
 func (router *Router) read(parent context.Context, soft bool) {
 	begun := router.clock.Now()
-	answers := make(chan *core.HeadsAnswer, len(router.Seeds))
-	for _, seed := range router.Seeds {
+	cores := router.cores()
+	answers := make(chan *core.HeadsAnswer, len(cores))
+	for _, seed := range cores {
 		go func() {
 			question := &core.HeadsQuestion{From: router.Machine, Soft: soft}
 			answer, _ := circuit.Call[core.HeadsQuestion, core.HeadsAnswer](parent, router.inner, seed, core.HeadsPath, readBudget, question)
@@ -134,7 +143,7 @@
 	}
 	var heard []core.HeadsAnswer
 	met := false
-	for range router.Seeds {
+	for range cores {
 		if answer := <-answers; answer != nil {
 			heard = append(heard, *answer)
 			met = met || len(heard) > len(router.Seeds)/2 && router.gate.Read(begun, heard)
@@ -146,6 +155,24 @@
 	}
 }
 
+// cores are the addresses of all who have a seat in some part, or the seeds as long
+// as no part has been heard of.
+func (router *Router) cores() []string {
+	found := map[string]bool{}
+	for index := range router.Parts {
+		if seats := router.seats[index].Load(); seats != nil {
+			for _, seat := range seats.Seats {
+				found[seat.Address] = !seat.Vacant()
+			}
+		}
+	}
+	delete(found, "")
+	if len(found) == 0 {
+		return router.Seeds
+	}
+	return slices.Collect(maps.Keys(found))
+}
+
 func (router *Router) hear(reports []catalogue.Report) {
 	now := router.clock.Now()
 	for _, report := range reports {
--- a/internal/router/gate_test.go
+++ b/internal/router/gate_test.go
@@ -27,11 +27,11 @@
 					gate := router.NewGate(1600*schedule.Millisecond, 1, 3)
 					var answers []core.HeadsAnswer
 					for _, slot := range order {
-						head := core.PartHead{Head: news.Head{Sequence: 1}, Current: current>>slot&1 > 0}
+						head := core.PartHead{Slot: slot, Head: news.Head{Sequence: 1}, Current: current>>slot&1 > 0}
 						if knows>>slot&1 > 0 {
 							head.Sequence = 2
 						}
-						answers = append(answers, core.HeadsAnswer{Slot: slot, Parts: []core.PartHead{head}})
+						answers = append(answers, core.HeadsAnswer{Parts: []core.PartHead{head}})
 						gate.Read(schedule.Second, answers)
 					}
 					open := gate.Open(schedule.Second, func(int) (uint64, bool) { return installed, true })
@@ -57,7 +57,7 @@
 	Convey("the same core heard twice is no majority, and a met read lapses", test, func() {
 		gate := router.NewGate(1600*schedule.Millisecond, 1, 3)
 		head := func(slot int) core.HeadsAnswer {
-			return core.HeadsAnswer{Slot: slot, Parts: []core.PartHead{{Current: true}}}
+			return core.HeadsAnswer{Parts: []core.PartHead{{Slot: slot, Current: true}}}
 		}
 		have := func(int) (uint64, bool) { return 0, false }
 		So(gate.Read(schedule.Second, []core.HeadsAnswer{head(1), head(1)}), ShouldBeFalse)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"coursepass/internal/hall"
 	"coursepass/internal/machine"
 	"coursepass/internal/news"
+	"coursepass/internal/part"
 	"coursepass/internal/relay"
 	"coursepass/internal/schedule"
 	"coursepass/internal/setting"
@@ -75,6 +76,7 @@
 	client  *http.Client
 	keys    *relay.Keys
 	view    atomic.Pointer[configuration.View]
+	seats   []atomic.Pointer[part.Bindings]
 	lock    sync.Mutex
 	tables  map[string]*catalogue.Table
 	repeats map[string]*relay.Repeats
@@ -95,7 +97,7 @@
 			Inner: settings.Inner.Inner, Public: settings.Place.Public, Incarnation: incarnation,
 		},
 		clock: schedule.NewClock(), meter: hall.NewMeter(settings.Place.Hall), keys: relay.NewKeys(),
-		tables: map[string]*catalogue.Table{}, repeats: map[string]*relay.Repeats{}, queues: map[string]*atomic.Int64{},
+		tables: map[string]*catalogue.Table{}, repeats: map[string]*relay.Repeats{}, queues: map[string]*atomic.Int64{}, seats: make([]atomic.Pointer[part.Bindings], settings.Parts),
 	}
 	router.inner = circuit.NewInner(settings.Fleet, router.meter, network)
 	router.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Network: network, Meter: router.meter})}
@@ -109,9 +111,14 @@
 // install puts a newer state in force here.
 func (router *Router) install(item news.Item) {
 	now := router.clock.Now()
+	bindings, capture, read := part.Unpack(item.Data)
+	if !read || item.Part < 0 || item.Part >= len(router.seats) {
+		return
+	}
+	router.seats[item.Part].Store(&bindings)
 	if item.Part == 0 {
 		state := configuration.NewState()
-		state.Restore(item.Data)
+		state.Restore(capture)
 		view := state.View()
 		router.view.Store(&view)
 		router.lock.Lock()
@@ -121,7 +128,7 @@
 		}
 		return
 	}
-	view, read := catalogue.Read(item.Data)
+	view, read := catalogue.Read(capture)
 	if !read {
 		return
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -14,7 +14,8 @@
 const (
 	Millisecond Microseconds = 1000
 	Second                   = 1000 * Millisecond
-	Never                    = Microseconds(1) << 62
+	// Never is later than any moment, and still fits the library's type.
+	Never = Microseconds(1) << 52
 )
 
 // Duration turns the span into the library's type.
--- a/internal/sibling/gossip.go
+++ b/internal/sibling/gossip.go
@@ -86,8 +86,7 @@
 func (gossip *Gossip) Publish(context context.Context, item news.Item) { gossip.pass(context, item) }
 
 func (gossip *Gossip) pass(parent context.Context, item news.Item) {
-	before, known := gossip.Sequence(item.Part)
-	if !gossip.Take(item) || known && before == item.Sequence {
+	if !gossip.Take(item) {
 		return
 	}
 	for _, other := range gossip.Some(fanout) {
--- a/internal/simulation/cores.go
+++ b/internal/simulation/cores.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 
 	"coursepass/internal/election"
 	"coursepass/internal/grant"
@@ -85,6 +86,9 @@
 		Network: network, Acked: map[uint64]bool{}, AckedAt: map[uint64]schedule.Microseconds{},
 		Place: part.Place{Place: election.Place{Slots: slots, Delta: Delta}, Terms: Terms, Keep: 24},
 	}
+	for slot := range slots {
+		group.Bindings.Seats = append(group.Bindings.Seats, part.Seat{Identity: fmt.Sprint(slot), Name: fmt.Sprint(slot), Address: fmt.Sprint(slot)})
+	}
 	for slot := range slots {
 		core := &Core{
 			group: group, slot: slot, disk: journal.NewImage(), syncSpan: 2 * schedule.Millisecond,
@@ -109,7 +113,7 @@
 	place := core.group.Place
 	place.Self = core.slot
 	core.life++
-	place.Life = core.life
+	place.Life, place.Me = core.life, place.Bindings.Seats[core.slot]
 	core.wakePlanned = false
 	core.alive, core.frozen, core.unsynced, core.pending, core.syncing = true, 0, nil, nil, false
 	core.book, core.gauges, core.waiting = &Book{}, map[int]*link.Gauge{}, map[[2]uint64]uint64{}
@@ -268,6 +272,7 @@
 					group.Violate("a message of %d µs passed as young", true)
 				}
 			}
+			message.Sender = core.member.Me
 			to.carry(to.member.Receive(to.Clock(), message))
 			to.plan()
 		})
--- a/internal/simulation/fabric.go
+++ b/internal/simulation/fabric.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"coursepass/internal/circuit"
@@ -103,7 +104,7 @@
 		return nil, mishap.Wrap(context.Err(), mishap.CircuitLost, address)
 	}
 	if !known {
-		return nil, mishap.New(mishap.CircuitLost, "%s is not listened on", address)
+		return nil, mishap.Wrap(syscall.ECONNREFUSED, mishap.CircuitLost, address)
 	}
 	near, far := net.Pipe()
 	here := &fabricCircuit{Conn: near, fabric: port.Fabric, from: port.Machine, to: listener.machine}
--- a/internal/simulation/routers.go
+++ b/internal/simulation/routers.go
@@ -6,6 +6,7 @@
 	"coursepass/internal/core"
 	"coursepass/internal/journal"
 	"coursepass/internal/news"
+	"coursepass/internal/part"
 	"coursepass/internal/router"
 	"coursepass/internal/schedule"
 )
@@ -50,11 +51,11 @@
 		found.group.Send(found.machine, each.slot, func() {
 			each.step(each.life, func() {
 				_, current := each.member.Current()
-				head := core.PartHead{Head: news.Head{Index: each.member.Applied(), Sequence: uint64(len(each.book.Lines))}, Current: current, Recovering: each.member.Recovering()}
-				state := journal.Entry{Index: each.member.Applied(), Round: each.member.AppliedRound(), Data: each.book.Snapshot()}
+				head := core.PartHead{Slot: each.slot, Head: news.Head{Index: each.member.Applied(), Sequence: uint64(len(each.book.Lines))}, Current: current, Recovering: each.member.Recovering()}
+				state := journal.Entry{Index: each.member.Applied(), Round: each.member.AppliedRound(), Data: each.member.Capture()}
 				life := each.life
 				found.group.Send(each.slot, found.machine, func() {
-					answers = append(answers, core.HeadsAnswer{Slot: each.slot, Parts: []core.PartHead{head}})
+					answers = append(answers, core.HeadsAnswer{Parts: []core.PartHead{head}})
 					found.gate.Read(begun, answers)
 					found.take(each, life, head, state)
 				})
@@ -71,11 +72,12 @@
 		})
 		return
 	}
-	if state.Index <= found.copy.Index || uint64(len(state.Data)/8) < found.sequence {
+	_, lines, _ := part.Unpack(state.Data)
+	if state.Index <= found.copy.Index || uint64(len(lines)/8) < found.sequence {
 		return
 	}
 	found.copy = state
-	found.book.Restore(state.Data)
+	found.book.Restore(lines)
 	found.sequence = uint64(len(found.book.Lines))
 }
 
--- a/internal/simulation/stage_test.go
+++ b/internal/simulation/stage_test.go
@@ -84,13 +84,7 @@
 		return setting.Place{Name: fmt.Sprintf("%s-%d", role, number), Hall: halls[number%3], Fleet: "stage", Public: public, Seeds: stage.seeds}
 	}
 	for number := range cores {
-		settings := core.Settings{
-			Place: place("core", number, stage.corePub[number]), Inner: setting.Inner{Inner: stage.seeds[number], Parts: 2},
-			Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Rewrite: 16, Data: filepath.Join(stage.folder, fmt.Sprint("core-", number)),
-		}
-		stage.add(settings.Place.Name, settings.Inner.Inner, settings.Public, func(port simulation.Port) (daemon, error) {
-			return core.New(settings, setting.Incarnation(), port)
-		})
+		stage.core(fmt.Sprint("core-", number), halls[number%3], stage.seeds[number], stage.corePub[number], "")
 	}
 	for number := range routers {
 		public := fmt.Sprintf("127.0.1.%d:2", number)
@@ -105,6 +99,19 @@
 	}
 }
 
+// core adds a core; one of a name that is there already stands at a new address and
+// with a new folder from its next start on.
+func (stage *stage) core(name, hall, inner, public, replaces string) {
+	settings := core.Settings{
+		Place: setting.Place{Name: name, Hall: hall, Fleet: "stage", Public: public, Seeds: stage.seeds},
+		Inner: setting.Inner{Inner: inner, Parts: 2}, Replaces: replaces,
+		Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Rewrite: 16, Data: filepath.Join(stage.folder, name),
+	}
+	stage.add(name, inner, public, func(port simulation.Port) (daemon, error) {
+		return core.New(settings, setting.Incarnation(), port)
+	})
+}
+
 type daemon interface {
 	Run(context.Context, core.Listeners) error
 }
@@ -229,16 +236,32 @@
 
 // leader is the core that owns the service's part.
 func (stage *stage) leader() string {
-	for number, address := range stage.corePub {
-		var overview core.Overview
-		target := operator.Target{Cores: []string{address}, Network: simulation.Port{Fabric: stage.Fabric, Machine: "operator"}}
-		if target.Get("/v1/status", &overview) == nil && overview.Parts[1].Owner {
-			return fmt.Sprint("core-", number)
+	for _, address := range stage.corePub {
+		if overview := stage.overview(address); len(overview.Parts) > 1 && overview.Parts[1].Owner {
+			return overview.Name
 		}
 	}
 	return ""
 }
 
+func (stage *stage) overview(address string) core.Overview {
+	var overview core.Overview
+	target := operator.Target{Cores: []string{address}, Network: simulation.Port{Fabric: stage.Fabric, Machine: "operator"}}
+	_ = target.Get("/v1/status", &overview)
+	return overview
+}
+
+// seated tells whether a core has a seat in every part and may vote.
+func (stage *stage) seated(address string) bool {
+	overview := stage.overview(address)
+	for _, part := range overview.Parts {
+		if part.Slot < 0 || part.Recovering || !part.Current {
+			return false
+		}
+	}
+	return len(overview.Parts) > 0
+}
+
 // recovers waits until a load is answered whole again, and says how long it took.
 func (stage *stage) recovers() time.Duration {
 	begun := time.Now()
