Give each try its own run, and keep parts while an engine is only suspect

Ruled out: lack of room, the grant (orders went out). Slots are bound by address alone: an identity pinned to a slot would have kept two cores that lost their disks at once from ever recovering.

--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -178,15 +178,20 @@
 	duty.lock.Lock()
 	defer duty.lock.Unlock()
 	now := duty.core.clock.Now()
-	var live []*soft
+	var live, steady []*soft
 	standing := map[string]order.Standing{}
 	var candidates []contract.Candidate
 	for name, engine := range view.Engines {
 		known, held := duty.soft[name]
-		if engine.Service != service || !held || now-known.heard > darkAfter || known.suspect > now {
+		if engine.Service != service || !held || now-known.heard > settleSpan {
+			continue
+		}
+		steady = append(steady, known)
+		if now-known.heard > darkAfter || known.suspect > now {
 			continue
 		}
 		if engine.Leaving || plan.Gone(engine.Hall) || known.Draining {
+			steady = steady[:len(steady)-1]
 			if known.leaves(now) {
 				standing[name] = order.Standing{Part: known.Part, Drain: true}
 			}
@@ -194,7 +199,7 @@
 		}
 		live = append(live, known)
 	}
-	duty.assign(service, now, live)
+	duty.assign(service, now, steady)
 	for _, each := range live {
 		if !duty.moves(now, each) && !each.Drained {
 			candidates = append(candidates, contract.Candidate{Name: each.Name, Hall: each.Hall, Version: each.Version, Part: each.Part})
@@ -235,7 +240,8 @@
 	return true
 }
 
-// assign sets how many engines play which part. The first split follows half and
+// assign sets how many engines play which part. An engine that is silent or suspect
+// for a moment still counts, so that the others don't change theirs for it. The first split follows half and
 // half; then the mix of busy time moves it, one engine at a time.
 func (duty *duty) assign(service string, now schedule.Microseconds, live []*soft) {
 	slices.SortFunc(live, func(left, right *soft) int {
--- a/internal/core/seek.go
+++ b/internal/core/seek.go
@@ -109,8 +109,7 @@
 }
 
 // enrol gives a seat to a daemon that has none, if this core owns the part: the seat
-// of the daemon it replaces, or of its own address, once its holder has been silent
-// for a whole lease.
+// of the daemon it replaces, once its holder has been silent for a whole lease.
 func (shard *shard) enrol(context context.Context, joining Joining) {
 	member := shard.member
 	if member == nil || !member.Owns() || joining.Daemon.Identity == "" || joining.Daemon.Address == "" {
@@ -119,7 +118,7 @@
 	bindings, now := member.Bindings(), shard.Clock.Now()
 	slot := -1
 	for place, seat := range bindings.Seats {
-		if seat.Vacant() || seat.Name == joining.Replaces || seat.Address == joining.Daemon.Address {
+		if seat.Vacant() || seat.Name == joining.Replaces {
 			slot = place
 		}
 	}
--- a/internal/part/binding.go
+++ b/internal/part/binding.go
@@ -10,9 +10,10 @@
 	"coursepass/internal/schedule"
 )
 
-// Seat binds a slot to a daemon: the identity of its data folder, its name and its
-// inner address. A seat without an identity belongs to whoever stands at its
-// address; one without an address is vacant.
+// Seat binds a slot to a daemon: whoever stands at the inner address, since two can't.
+// One that comes back there without its disk recovers first. The name is what another
+// daemon replaces it by; the identity of its data folder is for operators to see. A
+// seat without an address is vacant.
 type Seat struct {
 	Identity string
 	Name     string
@@ -23,9 +24,6 @@
 func (seat Seat) Vacant() bool { return seat.Address == "" }
 
 func (seat Seat) holds(other Seat) bool {
-	if seat.Identity != "" {
-		return seat.Identity == other.Identity
-	}
 	return !seat.Vacant() && seat.Address == other.Address
 }
 
@@ -142,15 +140,15 @@
 	return member.take()
 }
 
-// Pin gives a seat that belongs to an address to the identity that was heard there,
-// once: from then on nobody else has the slot without a change of bindings.
+// Pin writes down the name that was heard at a seat's address, once, so that another
+// daemon may replace it by that name.
 func (member *Member) Pin(now schedule.Microseconds) Output {
 	if !member.mayRebind() {
 		return Output{}
 	}
 	for slot, seat := range member.bindings.Seats {
 		heard := member.others[slot].sender
-		if seat.Identity == "" && !seat.Vacant() && heard.Identity != "" && heard.Address == seat.Address {
+		if seat.Name == "" && !seat.Vacant() && heard.Name != "" && heard.Address == seat.Address {
 			return member.writeBindings(now, member.bindings.with(slot, heard))
 		}
 	}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"net/http"
 
@@ -48,6 +47,7 @@
 	start    schedule.Microseconds
 	abandon  schedule.Microseconds
 	run      string
+	claimed  bool
 	avoid    map[string]bool
 	writer   http.ResponseWriter
 	stream   *json.Encoder
@@ -118,7 +118,7 @@
 	if !router.keys.Claim(now, passing.claim()) {
 		return nil, mishap.New(mishap.KeyReused, "%s", passing.Key)
 	}
-	passing.run = rand.Text()
+	passing.claimed = true
 	percent, allowance := view.Plan.Tenants[passing.Tenant].Share()
 	repeats.Enrol(percent, float64(allowance)/float64(router.routers()))
 	return queue, passing.Move(relay.Enrolled)
@@ -143,7 +143,7 @@
 		passing.State = relay.Declined
 	}
 	ending := passing.Ending()
-	if ending == relay.NotRun && passing.run != "" {
+	if ending == relay.NotRun && passing.claimed {
 		router.keys.Free(passing.claim())
 	}
 	retry := 0
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -33,6 +34,9 @@
 		if failure := passing.Move(relay.Matched); failure != nil {
 			return failure
 		}
+		// Each try is a run of its own: what is cancelled under the name of an earlier
+		// one stays cancelled.
+		passing.run = rand.Text()
 		reader, failure := router.find(bounded, passing, catalogue.Want{Part: contract.Prefill, Prefix: passing.template.Prefix})
 		if failure != nil {
 			return failure
@@ -183,7 +187,9 @@
 	passing.avoid[pick.Name] = true
 	failure := mishap.New(code, "%s at %s", stage, pick.Name)
 	if !code.Unstarted() {
-		passing.retry = router.troubled(bounded, passing, pick.Name, stage, false).Retry
+		if code != mishap.Cancelled {
+			passing.retry = router.troubled(bounded, passing, pick.Name, stage, false).Retry
+		}
 		_ = passing.Move(relay.Failed)
 		return mishap.Wrap(failure, mishap.RunFailed, "the engine's answer")
 	}
