Take room at reader and writer together, and split parts within a model version

Cause: prompts were read with no token maker free, and then could end only as 'run'; busy answers of token makers were reported as mishaps, the leader put them under suspicion, and the contract ran empty. In a release, readers of the new version had no partner. Ruled out: the grant, the gate (none stale).

--- a/cmd/coursepass/main.go
+++ b/cmd/coursepass/main.go
@@ -53,23 +53,29 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// Run runs a core.
-func (command *coreCommand) Run() error {
-	if failure := command.Check(); failure != nil {
+type daemon interface {
+	Run(context.Context, core.Listeners) error
+}
+
+// serve opens a daemon's sockets and runs it until it is stopped.
+func serve(each daemon, place setting.Place, inner setting.Inner) error {
+	listeners, failure := core.Listen(circuit.System, inner.Inner, place.Public)
+	if failure != nil {
 		return failure
 	}
+	running, stop := untilStopped()
+	defer stop()
+	return each.Run(running, listeners)
+}
+
+// Run runs a core.
+func (command *coreCommand) Run() error {
 	level(command.Level)
 	each, failure := core.New(command.Settings, setting.Incarnation(), circuit.System)
 	if failure != nil {
 		return failure
 	}
-	listeners, failure := core.Listen(circuit.System, command.Inner.Inner, command.Public)
-	if failure != nil {
-		return failure
-	}
-	running, stop := untilStopped()
-	defer stop()
-	return each.Run(running, listeners)
+	return serve(each, command.Place, command.Inner)
 }
 
 // Run runs a router.
@@ -79,13 +85,7 @@
 	if failure != nil {
 		return failure
 	}
-	listeners, failure := core.Listen(circuit.System, command.Inner.Inner, command.Public)
-	if failure != nil {
-		return failure
-	}
-	running, stop := untilStopped()
-	defer stop()
-	return each.Run(running, listeners)
+	return serve(each, command.Place, command.Inner)
 }
 
 // Run runs a stand-in engine.
--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -149,13 +150,15 @@
 	return float64(held.own) + float64(held.others)*max(fade, 0)
 }
 
-// Choose picks the engine that promises the earliest start: the prefix held, then
-// load and hall. It says whether any engine is fit at all, if none has room.
-func (table *Table) Choose(now schedule.Microseconds, want Want) (*Pick, bool) {
-	table.lock.Lock()
-	defer table.lock.Unlock()
-	var best *seat
-	lowest, fit := 0.0, false
+// choice is a fit engine with room, and what it would cost to take it.
+type choice struct {
+	*seat
+	cost float64
+}
+
+// choices are the fit engines with room. It says whether any engine is fit at all,
+// if none has room.
+func (table *Table) choices(now schedule.Microseconds, want Want) (found []choice, fit bool) {
 	for _, held := range table.seats {
 		if !table.fits(now, held, want) {
 			continue
@@ -172,15 +175,59 @@
 		if held.Hall != want.Hall {
 			cost += farCost
 		}
-		if best == nil || cost < lowest {
-			best, lowest = held, cost
-		}
+		found = append(found, choice{held, cost})
 	}
-	if best == nil {
+	return found, fit
+}
+
+func (table *Table) take(held *seat) *Pick {
+	held.own++
+	return &Pick{Engine: held.Engine, Version: held.report.Version, Done: table.done(held)}
+}
+
+// Choose picks the engine that promises the earliest start: the prefix held, then
+// load and hall.
+func (table *Table) Choose(now schedule.Microseconds, want Want) (*Pick, bool) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	found, fit := table.choices(now, want)
+	if len(found) == 0 {
 		return nil, fit
 	}
-	best.own++
-	return &Pick{Engine: best.Engine, Version: best.report.Version, Done: table.done(best)}, true
+	best := slices.MinFunc(found, func(left, right choice) int { return cmp.Compare(left.cost, right.cost) })
+	return table.take(best.seat), true
+}
+
+// ChoosePair picks a prompt reader and a token maker that the contract pairs, and
+// takes room at both: a prompt that is read without room to make its tokens would be
+// work for nothing, and could no longer be told as not run.
+func (table *Table) ChoosePair(now schedule.Microseconds, want Want) (reader, writer *Pick, fit bool) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	want.Part = contract.Prefill
+	readers, fitReaders := table.choices(now, want)
+	want.Part = contract.Decode
+	writers, fitWriters := table.choices(now, want)
+	var best [2]*seat
+	lowest := 0.0
+	for _, first := range readers {
+		for _, second := range writers {
+			if !table.paired(first.Name, second.Name) || first.seat == second.seat && first.busy(now)+1 >= float64(first.room(now)) {
+				continue
+			}
+			cost := first.cost + second.cost
+			if first.Hall != second.Hall {
+				cost += farCost
+			}
+			if best[0] == nil || cost < lowest {
+				best, lowest = [2]*seat{first.seat, second.seat}, cost
+			}
+		}
+	}
+	if best[0] == nil {
+		return nil, nil, fitReaders && fitWriters
+	}
+	return table.take(best[0]), table.take(best[1]), true
 }
 
 func (table *Table) fits(now schedule.Microseconds, held *seat, want Want) bool {
@@ -197,13 +244,9 @@
 }
 
 func (table *Table) paired(reader, writer string) bool {
-	partners := table.contract.Partners(reader)
-	for _, pair := range partners {
-		if pair.Decode == writer {
-			return true
-		}
-	}
-	return len(partners) == 0
+	return slices.ContainsFunc(table.contract.Pairs, func(pair contract.Pair) bool {
+		return pair.Prefill == reader && pair.Decode == writer
+	})
 }
 
 // Shun gives an engine no new work from here for a second.
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -199,7 +199,13 @@
 		}
 		live = append(live, known)
 	}
-	duty.assign(service, now, steady)
+	byVersion := map[string][]*soft{}
+	for _, each := range steady {
+		byVersion[each.Version] = append(byVersion[each.Version], each)
+	}
+	for version, each := range byVersion {
+		duty.assign(service+"/"+version, now, each)
+	}
 	for _, each := range live {
 		if !duty.moves(now, each) && !each.Drained {
 			candidates = append(candidates, contract.Candidate{Name: each.Name, Hall: each.Hall, Version: each.Version, Part: each.Part})
@@ -240,20 +246,21 @@
 	return true
 }
 
-// assign sets how many engines play which part. An engine that is silent or suspect
+// assign sets how many engines of one model version play which part, since only
+// those can be paired; a single one plays both. An engine that is silent or suspect
 // for a moment still counts, so that the others don't change theirs for it. The first split follows half and
 // half; then the mix of busy time moves it, one engine at a time.
-func (duty *duty) assign(service string, now schedule.Microseconds, live []*soft) {
+func (duty *duty) assign(group string, now schedule.Microseconds, live []*soft) {
 	slices.SortFunc(live, func(left, right *soft) int {
 		if left.Name < right.Name {
 			return -1
 		}
 		return 1
 	})
-	share, known := duty.shares[service]
+	share, known := duty.shares[group]
 	if !known {
 		share = &contract.Share{Settle: settleSpan}
-		duty.shares[service] = share
+		duty.shares[group] = share
 	}
 	readers, prefill, decode := 0, 0.0, 0.0
 	for _, each := range live {
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -37,13 +37,20 @@
 		// Each try is a run of its own: what is cancelled under the name of an earlier
 		// one stays cancelled.
 		passing.run = rand.Text()
-		reader, failure := router.find(bounded, passing, catalogue.Want{Part: contract.Prefill, Prefix: passing.template.Prefix})
+		var reader, writer *catalogue.Pick
+		failure := router.find(bounded, passing, "serve", func(now schedule.Microseconds, want catalogue.Want) (found, fit bool) {
+			want.Prefix = passing.template.Prefix
+			reader, writer, fit = passing.table.ChoosePair(now, want)
+			return reader != nil, fit
+		})
 		if failure != nil {
 			return failure
 		}
 		ticket, failure := router.prefill(bounded, passing, reader)
 		if failure == nil {
-			failure = router.decode(bounded, passing, reader, ticket)
+			failure = router.decode(bounded, passing, reader, writer, ticket)
+		} else {
+			writer.Done(catalogue.Experience{Now: router.clock.Now()})
 		}
 		if failure == nil || passing.frames > 0 {
 			return failure
@@ -69,14 +76,14 @@
 	return passing.Tries < mostTries && (proved || !passing.template.OneShot() && passing.retry)
 }
 
-// find waits for an engine with room as long as the start can still be met.
-func (router *Router) find(bounded context.Context, passing *passage, want catalogue.Want) (*catalogue.Pick, error) {
-	want.Hall, want.Versions, want.Avoid = router.Machine.Hall, passing.service.Versions, passing.avoid
+// find waits for engines with room as long as the start can still be met.
+func (router *Router) find(bounded context.Context, passing *passage, work string, choose func(schedule.Microseconds, catalogue.Want) (found, fit bool)) error {
+	want := catalogue.Want{Hall: router.Machine.Hall, Versions: passing.service.Versions, Avoid: passing.avoid}
 	for {
 		now := router.clock.Now()
-		pick, fit := passing.table.Choose(now, want)
-		if pick != nil {
-			return pick, nil
+		found, fit := choose(now, want)
+		if found {
+			return nil
 		}
 		if !fit && len(passing.avoid) > 0 {
 			clear(passing.avoid)
@@ -84,13 +91,13 @@
 		}
 		if now >= passing.start {
 			if fit {
-				return nil, mishap.New(mishap.BudgetSpent, "no engine had room to %s", want.Part)
+				return mishap.New(mishap.BudgetSpent, "no engine had room to %s", work)
 			}
-			return nil, mishap.New(mishap.NoEngine, "none can %s for %s", want.Part, passing.template.Service)
+			return mishap.New(mishap.NoEngine, "none can %s for %s", work, passing.template.Service)
 		}
 		select {
 		case <-bounded.Done():
-			return nil, mishap.New(mishap.Cancelled, "the caller left")
+			return mishap.New(mishap.Cancelled, "the caller left")
 		case <-time.After(lookAgain):
 		}
 	}
@@ -215,28 +222,35 @@
 	}
 }
 
-// decode finds a token-maker for the ticket. Only the engine's own proof that it
-// did not start lets another one have the same ticket.
-func (router *Router) decode(bounded context.Context, passing *passage, reader *catalogue.Pick, ticket engine.Ticket) error {
+// decode has the token maker take the ticket. Only the engine's own proof that it did
+// not start lets another one have the same ticket.
+func (router *Router) decode(bounded context.Context, passing *passage, reader, writer *catalogue.Pick, ticket engine.Ticket) error {
 	for tries := 1; ; tries++ {
-		writer, failure := router.find(bounded, passing, catalogue.Want{Part: contract.Decode, Reader: reader.Name})
-		if failure != nil {
-			router.cancel(passing.run, reader.Address)
-			_ = passing.Move(relay.Failed)
-			return mishap.Wrap(failure, mishap.RunFailed, "prompt read, but no engine made tokens")
-		}
-		failure = router.make(bounded, passing, reader, writer, ticket)
+		failure := router.make(bounded, passing, reader, writer, ticket)
 		if failure == nil || passing.State != relay.HandedOver {
 			return failure
 		}
 		code := mishap.CodeOf(failure, mishap.EndingUnknown)
 		if code == mishap.TicketVoid || tries >= mostTries || !passing.repeats.Take() {
-			passing.retry = router.troubled(bounded, passing, writer.Name, contract.Decode, false).Retry
+			// A busy token maker is no mishap; lost prompt memory is its reader's.
+			if passing.retry = false; code == mishap.TicketVoid {
+				passing.retry = router.troubled(bounded, passing, reader.Name, contract.Decode, false).Retry
+			}
 			router.cancel(passing.run, reader.Address)
 			_ = passing.Move(relay.Failed)
 			return mishap.Wrap(failure, mishap.RunFailed, "decode")
 		}
 		router.Repeats.Add(1)
+		failure = router.find(bounded, passing, "make tokens", func(now schedule.Microseconds, want catalogue.Want) (found, fit bool) {
+			want.Part, want.Reader = contract.Decode, reader.Name
+			writer, fit = passing.table.Choose(now, want)
+			return writer != nil, fit
+		})
+		if failure != nil {
+			router.cancel(passing.run, reader.Address)
+			_ = passing.Move(relay.Failed)
+			return mishap.Wrap(failure, mishap.RunFailed, "prompt read, but no engine made tokens")
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/simulation/stage_load_test.go
@@ -0,0 +1,61 @@
+package simulation_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"coursepass/internal/load"
+	"coursepass/internal/operator"
+)
+
+// Engines are replaced one by one by a release with another model version, each
+// politely: listed as leaving, then stopped, then started anew.
+func TestRollingRelease(test *testing.T) {
+	play(test, func(stage *stage) {
+		figures := stage.during(50, func() {
+			for number := range 6 {
+				name := fmt.Sprint("engine-", number)
+				leave := &operator.Leave{Target: stage.change().Target}
+				leave.Arguments.Service, leave.Arguments.Engine = "reservas", name
+				if failure := leave.Run(); failure != nil {
+					test.Error(failure)
+				}
+				time.Sleep(3 * time.Second)
+				stage.polite(name)
+				stage.engine(number, "r2")
+				stage.wake(name)
+				time.Sleep(4 * time.Second)
+			}
+		})
+		most(test, figures, 0.99)
+	})
+}
+
+// A crowd comes at once, five times what the engines can do: what can't start in time
+// is declined early with a time to come back, what is taken starts in time, and the
+// fleet serves all again right after.
+func TestCrowd(test *testing.T) {
+	play(test, func(stage *stage) {
+		var crowd *load.Figures
+		stage.during(12, func() { crowd = stage.crowd(4, 200, 300) })
+		crowd.Print(test.Output(), false)
+		for _, violation := range crowd.Violations {
+			test.Error(violation)
+		}
+		declined := 0
+		for name, count := range crowd.Endings {
+			if strings.HasSuffix(name, "(not run)") {
+				declined += count
+			}
+		}
+		if declined == 0 || crowd.Endings["whole"] == 0 {
+			test.Errorf("declined %d, whole %d", declined, crowd.Endings["whole"])
+		}
+		if share := float64(crowd.Late) / float64(crowd.Sent); share > 0.05 {
+			test.Errorf("%.3f of the requests started late", share)
+		}
+		most(test, stage.load(3), 1)
+	})
+}
--- a/internal/simulation/stage_test.go
+++ b/internal/simulation/stage_test.go
@@ -288,9 +288,22 @@
 }
 
 func (stage *stage) drive(seconds int) (*load.Figures, error) {
+	return stage.rates(seconds, 20, 24)
+}
+
+// crowd is a load of its own rates.
+func (stage *stage) crowd(seconds int, long, short float64) *load.Figures {
+	figures, failure := stage.rates(seconds, long, short)
+	if failure != nil {
+		stage.Error(failure)
+	}
+	return figures
+}
+
+func (stage *stage) rates(seconds int, long, short float64) (*load.Figures, error) {
 	run, failure := load.New(load.Settings{
 		Cores: stage.corePub, Routers: stage.routPub, Tenant: "asociacion", Long: "waiver", Short: "reply",
-		LongRate: 20, ShortRate: 24, Seconds: seconds, Seed: 1,
+		LongRate: long, ShortRate: short, Seconds: seconds, Seed: 1,
 	}, simulation.Port{Fabric: stage.Fabric, Machine: "caller"})
 	if failure != nil {
 		stage.Fatal(failure)
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -231,8 +231,13 @@
 	for _, each := range crowd.cores {
 		each.end(syscall.SIGKILL)
 	}
+	return crowd.back(context, crowd.cores)
+}
+
+// back starts processes again after two seconds and waits for a leader.
+func (crowd *crowd) back(context context.Context, gone []*process) error {
 	pause(context, 2*time.Second)
-	for _, each := range crowd.cores {
+	for _, each := range gone {
 		if failure := each.start(); failure != nil {
 			return failure
 		}
@@ -303,15 +308,9 @@
 
 func herd(context context.Context, crowd *crowd) error {
 	fmt.Println("kill all cores and routers, start them again after 2 s")
-	for _, each := range append(append([]*process{}, crowd.cores...), crowd.routers...) {
+	gone := append(slices.Clone(crowd.cores), crowd.routers...)
+	for _, each := range gone {
 		each.end(syscall.SIGKILL)
 	}
-	pause(context, 2*time.Second)
-	for _, each := range append(append([]*process{}, crowd.cores...), crowd.routers...) {
-		if failure := each.start(); failure != nil {
-			return failure
-		}
-	}
-	crowd.awaitLeader(context, -1, time.Now())
-	return nil
+	return crowd.back(context, gone)
 }
