--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	strangersFade = 500 * schedule.Millisecond
+	strangersFade = 1000 * schedule.Millisecond
 	warmSpan      = 5 * schedule.Second
 	warmRuns      = 8
 	missCost      = 0.5
