Expand a configuration with two evaluations, one request at a time

Cause: large documents cost the cores seconds of CUE each, also for the losers of a race. A single evaluation was tried and reverted, since the schema then lets misspelt names pass.

--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -42,6 +42,8 @@
 	bad := map[string][2]string{
 		"not CUE":          {`halls: [`, "expected"},
 		"unknown field":    {good + "\nhals: 1", "hals"},
+		"unknown inside":   {good + "\ntenants: t: kindz: 1", "kindz"},
+		"unknown deeper":   {good + "\ntenants: t: kinds: k: repeats: true", "repeats"},
 		"no halls":         {`services: {}`, "halls"},
 		"unknown service":  {good + "\ntenants: t: kinds: x: {service: \"y\", abandonMilliseconds: 3000}", "tenants.t.kinds.x.service"},
 		"unknown prefix":   {good + "\ntenants: t: kinds: k: prefix: \"book\"", "tenants.t.kinds.k.prefix"},
--- a/internal/configuration/plan.go
+++ b/internal/configuration/plan.go
@@ -6,11 +6,14 @@
 	_ "embed"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 
 	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/ast"
 	"cuelang.org/go/cue/cuecontext"
 	cueerrors "cuelang.org/go/cue/errors"
+	"cuelang.org/go/cue/parser"
 
 	"coursepass/internal/mishap"
 	"coursepass/internal/schedule"
@@ -98,27 +101,29 @@
 }
 
 // Expand reads a document, fills in the changed parameters and checks all of it.
-// Changes map a path below parameters to a value in JSON.
+// Changes map a path below parameters to a value in JSON; they are read together with
+// the document, since each evaluation costs.
 func Expand(document string, changes map[string]string) (Plan, error) {
 	if len(document) > Largest {
 		return Plan{}, mishap.New(mishap.ConfigurationInvalid, "the document has more than %d bytes", Largest)
 	}
-	context := cuecontext.New()
-	shapes := context.CompileString(schema, cue.Filename("schema.cue"))
-	value := context.CompileString(document, cue.Filename("configuration.cue"), cue.Scope(shapes))
-	if failure := value.Err(); failure != nil {
+	file, failure := parser.ParseFile("configuration.cue", document)
+	if failure != nil {
 		return Plan{}, declined(failure)
 	}
+	source := document + "\n"
 	for path, text := range changes {
-		var parameter any
-		if failure := json.Unmarshal([]byte(text), &parameter); failure != nil {
-			return Plan{}, mishap.Wrap(failure, mishap.ConfigurationInvalid, "value of "+path)
+		added, failure := change(file, path, text)
+		if failure != nil {
+			return Plan{}, failure
 		}
-		place := cue.ParsePath("parameters." + path)
-		if place.Err() != nil || !value.LookupPath(place).Exists() {
-			return Plan{}, mishap.New(mishap.ConfigurationInvalid, "the document has no parameter %q", path)
-		}
-		value = value.FillPath(place, context.Encode(number(parameter)))
+		source += added
+	}
+	context := cuecontext.New()
+	shapes := context.CompileString(schema, cue.Filename("schema.cue"))
+	value := context.CompileString(source, cue.Filename("configuration.cue"), cue.Scope(shapes))
+	if failure := value.Err(); failure != nil {
+		return Plan{}, declined(failure)
 	}
 	value = value.Unify(shapes.LookupPath(cue.ParsePath("#Configuration")))
 	if failure := value.Validate(cue.Concrete(true), cue.Final()); failure != nil {
@@ -132,6 +137,41 @@
 	return plan, plan.check()
 }
 
+// change is the line that gives a parameter its value, if the document declares it.
+func change(file *ast.File, path, text string) (string, error) {
+	names := strings.Split(path, ".")
+	if !json.Valid([]byte(text)) {
+		return "", mishap.New(mishap.ConfigurationInvalid, "the value of %s is not JSON", path)
+	}
+	if !declares(file.Decls, append([]string{"parameters"}, names...)) {
+		return "", mishap.New(mishap.ConfigurationInvalid, "the document has no parameter %q", path)
+	}
+	line := "parameters: "
+	for _, name := range names {
+		line += strconv.Quote(name) + ": "
+	}
+	return line + text + "\n", nil
+}
+
+func declares(declarations []ast.Decl, names []string) bool {
+	for _, declaration := range declarations {
+		field, yes := declaration.(*ast.Field)
+		if !yes {
+			continue
+		}
+		if name, _, failure := ast.LabelName(field.Label); failure != nil || name != names[0] {
+			continue
+		}
+		if len(names) == 1 {
+			return true
+		}
+		if inner, yes := field.Value.(*ast.StructLit); yes && declares(inner.Elts, names[1:]) {
+			return true
+		}
+	}
+	return false
+}
+
 // What a document leaves out. The schema has no defaults of its own, so that a
 // document's parameters can have them.
 const (
@@ -169,13 +209,6 @@
 	}
 }
 
-func number(parameter any) any {
-	if float, yes := parameter.(float64); yes && float == float64(int64(float)) {
-		return int64(float)
-	}
-	return parameter
-}
-
 func declined(failure error) error {
 	lines := strings.TrimSpace(cueerrors.Details(failure, nil))
 	return mishap.New(mishap.ConfigurationInvalid, "%s", lines)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,18 +60,19 @@
 	Settings
 	senderCounters
 	machine.Machine
-	seat    part.Seat
-	clock   *schedule.Clock
-	meter   *hall.Meter
-	inner   *circuit.Inner
-	journal *journal.Journal
-	gossip  *sibling.Gossip
-	senders map[string]*sender
-	lock    sync.Mutex
-	running context.Context
-	shards  []*shard
-	duties  []*duty
-	configs *configuration.State
+	seat        part.Seat
+	clock       *schedule.Clock
+	meter       *hall.Meter
+	inner       *circuit.Inner
+	journal     *journal.Journal
+	gossip      *sibling.Gossip
+	senders     map[string]*sender
+	lock        sync.Mutex
+	running     context.Context
+	shards      []*shard
+	duties      []*duty
+	configs     *configuration.State
+	configuring sync.Mutex
 }
 
 // ServicePart is the part that holds a service's engines.
--- a/internal/trial/rollout.go
+++ b/internal/trial/rollout.go
@@ -58,8 +58,12 @@
 	if failure != nil {
 		return mishap.Wrap(failure, mishap.SettingBad, "--configuration")
 	}
-	for line := 0; rollout.Padding > 0 && len(document) < rollout.Padding<<10; line++ {
-		document = fmt.Appendf(document, "\nservices: reservas: prefixes: \"filling-%d\": tokens: %d", line, line)
+	if rollout.Padding > 0 {
+		document = append(document, "\nservices: reservas: prefixes: {\n"...)
+		for line := 0; len(document) < rollout.Padding<<10; line++ {
+			document = fmt.Appendf(document, "\t\"filling-%d\": tokens: %d\n", line, line)
+		}
+		document = append(document, "}\n"...)
 	}
 	filled := folder + "/document.cue"
 	if failure := os.WriteFile(filled, document, 0o600); failure != nil {
