Send the definitions of a gob once, and their hash afterwards

Cause: a gob of one message is 598 bytes, of which about 60 are the message; the rest defines its types, each time.

--- a/internal/circuit/inner.go
+++ b/internal/circuit/inner.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 	Network Network
 	Foreign atomic.Int64
 	Garbage atomic.Int64
+	Full    atomic.Int64
+	primers *primers
 	client  *http.Client
 	calls   sync.Map
 	routes  *http.ServeMux
@@ -35,7 +38,7 @@
 // NewInner makes the inner side of a daemon of this fleet.
 func NewInner(fleet string, meter *hall.Meter, network Network) *Inner {
 	return &Inner{
-		Fleet: fleet, Meter: meter, Network: network, routes: http.NewServeMux(),
+		Fleet: fleet, Meter: meter, Network: network, primers: newPrimers(), routes: http.NewServeMux(),
 		client: &http.Client{Transport: NewTransport(Options{Network: network, Meter: meter})},
 	}
 }
@@ -74,7 +77,7 @@
 			return nil, connect.NewError(connect.CodeAborted, failure)
 		}
 		return connect.NewResponse(reply), nil
-	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(largest),
+	}, connect.WithCodec(fullCodec{inner.primers}), connect.WithCodec(shortCodec{inner.primers}), connect.WithReadMaxBytes(largest),
 		connect.WithRecover(func(context.Context, connect.Spec, http.Header, any) error {
 			return connect.NewError(connect.CodeInternal, mishap.New(mishap.Garbage, "%s", procedure))
 		}))
@@ -88,16 +91,54 @@
 	key := address + procedure
 	found, known := inner.calls.Load(key)
 	if !known {
-		found, _ = inner.calls.LoadOrStore(key, connect.NewClient[Question, Reply](inner.client, "http://"+key,
-			connect.WithCodec(codec{}), connect.WithReadMaxBytes(largest)))
+		made := &caller[Question, Reply]{}
+		for place, codec := range []connect.Codec{fullCodec{inner.primers}, shortCodec{inner.primers}} {
+			made.clients[place] = connect.NewClient[Question, Reply](inner.client, "http://"+key,
+				connect.WithCodec(codec), connect.WithReadMaxBytes(largest))
+		}
+		found, _ = inner.calls.LoadOrStore(key, made)
 	}
-	request := connect.NewRequest(question)
-	request.Header().Set(fleetHeader, inner.Fleet)
 	inner.Meter.Calls.Add(1)
-	reply, failure := found.(*connect.Client[Question, Reply]).CallUnary(bounded, request)
+	reply, failure := found.(*caller[Question, Reply]).call(bounded, inner, question)
 	if failure != nil {
 		return nil, mishap.Wrap(failure, mishap.CircuitLost, key)
 	}
+	return reply, nil
+}
+
+// caller calls one procedure at one address: in full until an answer has shown that
+// both sides know each other's definitions, and in full again when one side has
+// forgotten them. Only a question that the other side says it could not read is sent
+// again, since it was not acted upon; an answer that can't be read here is a mishap.
+type caller[Question, Reply any] struct {
+	clients [2]*connect.Client[Question, Reply]
+	short   atomic.Bool
+}
+
+func (caller *caller[Question, Reply]) call(bounded context.Context, inner *Inner, question *Question) (*Reply, error) {
+	if caller.short.Load() {
+		reply, failure := caller.once(bounded, inner, 1, question)
+		if failure == nil {
+			return reply, nil
+		}
+		caller.short.Store(false)
+		if !connect.IsWireError(failure) || connect.CodeOf(failure) != connect.CodeInvalidArgument || !strings.Contains(failure.Error(), unknownPrimer) {
+			return nil, failure
+		}
+	}
+	inner.Full.Add(1)
+	reply, failure := caller.once(bounded, inner, 0, question)
+	caller.short.Store(failure == nil)
+	return reply, failure
+}
+
+func (caller *caller[Question, Reply]) once(bounded context.Context, inner *Inner, codec int, question *Question) (*Reply, error) {
+	request := connect.NewRequest(question)
+	request.Header().Set(fleetHeader, inner.Fleet)
+	reply, failure := caller.clients[codec].CallUnary(bounded, request)
+	if failure != nil {
+		return nil, failure
+	}
 	return reply.Msg, nil
 }
 
