--- a/internal/circuit/inner.go
+++ b/internal/circuit/inner.go
@@ -19,6 +19,9 @@
 const (
 	fleetHeader = "Coursepass-Fleet"
 	largest     = 32 << 20
+	// worthPacking is the size from which on a message is packed: below it, packing
+	// costs more processor time than it saves in bytes.
+	worthPacking = 2048
 )
 
 // Inner is a daemon's side of all calls to its own kind.
@@ -77,7 +80,7 @@
 			return nil, connect.NewError(connect.CodeAborted, failure)
 		}
 		return connect.NewResponse(reply), nil
-	}, connect.WithCodec(fullCodec{inner.primers}), connect.WithCodec(shortCodec{inner.primers}), connect.WithReadMaxBytes(largest),
+	}, connect.WithCodec(fullCodec{inner.primers}), connect.WithCodec(shortCodec{inner.primers}), connect.WithReadMaxBytes(largest), connect.WithCompressMinBytes(worthPacking),
 		connect.WithRecover(func(context.Context, connect.Spec, http.Header, any) error {
 			return connect.NewError(connect.CodeInternal, mishap.New(mishap.Garbage, "%s", procedure))
 		}))
@@ -94,7 +97,7 @@
 		made := &caller[Question, Reply]{}
 		for place, codec := range []connect.Codec{fullCodec{inner.primers}, shortCodec{inner.primers}} {
 			made.clients[place] = connect.NewClient[Question, Reply](inner.client, "http://"+key,
-				connect.WithCodec(codec), connect.WithReadMaxBytes(largest))
+				connect.WithCodec(codec), connect.WithReadMaxBytes(largest), connect.WithSendGzip(), connect.WithCompressMinBytes(worthPacking))
 		}
 		found, _ = inner.calls.LoadOrStore(key, made)
 	}
--- /dev/null
+++ b/internal/simulation/stage_ends_test.go
@@ -0,0 +1,107 @@
+package simulation_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/circuit"
+	"coursepass/internal/hall"
+	"coursepass/internal/mishap"
+	"coursepass/internal/operator"
+	"coursepass/internal/simulation"
+)
+
+func (stage *stage) running() int {
+	sum := 0
+	for name := range stage.observers {
+		var report catalogue.Report
+		alone := operator.Target{Cores: []string{"127.0.2." + name[len("engine-"):] + ":2"}, Network: stage.change().Network}
+		if alone.Get("/report", &report) == nil {
+			sum += report.Running
+		}
+	}
+	return sum
+}
+
+// A caller leaves after the first frame of a long answer: the engine is free again
+// long before the answer would have ended.
+func TestACallerWhoLeavesFreesTheEngine(test *testing.T) {
+	play(test, func(stage *stage) {
+		transport := circuit.NewTransport(circuit.Options{Network: simulation.Port{Fabric: stage.Fabric, Machine: "caller"}, Meter: hall.NewMeter("")})
+		leaving, leave := context.WithCancel(context.Background())
+		body := strings.NewReader(`{"tenant":"asociacion","kind":"reply","key":"gone","prompt":"x","tokens":48}`)
+		request, _ := http.NewRequestWithContext(leaving, http.MethodPost, "http://"+stage.routPub[0]+"/v1/answer", body)
+		answer, failure := (&http.Client{Transport: transport}).Do(request)
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		if _, failure := bufio.NewReader(answer.Body).ReadBytes('\n'); failure != nil {
+			test.Fatal(failure)
+		}
+		if stage.running() != 1 {
+			test.Errorf("%d runs while the answer streams", stage.running())
+		}
+		leave()
+		time.Sleep(50 * time.Millisecond)
+		if stage.running() != 0 {
+			test.Errorf("%d runs 50 ms after the caller left; the answer would take 380", stage.running())
+		}
+	})
+}
+
+func TestWhatCannotBeServedIsDeclinedAsNotRun(test *testing.T) {
+	play(test, func(stage *stage) {
+		url := "http://" + stage.routPub[0] + "/v1/answer"
+		ask := func(key string) (int, circuit.Decline) {
+			return stage.post(url, `{"tenant":"asociacion","kind":"reply","key":"`+key+`","prompt":"x","tokens":48}`, nil)
+		}
+		text, failure := os.ReadFile("../../examples/asociacion.cue")
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		path := filepath.Join(stage.folder, "narrow.cue")
+		if failure := os.WriteFile(path, []byte(strings.Replace(string(text), "queue: 512", "queue: 1", 1)), 0o600); failure != nil {
+			test.Fatal(failure)
+		}
+		apply := &operator.Apply{Change: stage.change()}
+		apply.Arguments.File = path
+		if failure := apply.Run(); failure != nil {
+			test.Fatal(failure)
+		}
+		time.Sleep(time.Second)
+		done := make(chan int)
+		go func() { status, _ := ask("first"); done <- status }()
+		time.Sleep(100 * time.Millisecond)
+		if status, told := ask("second"); status != 503 || told.Code != mishap.QueueFull || told.Ending != "not run" {
+			test.Errorf("a full queue: %d %+v", status, told)
+		}
+		if status := <-done; status != 200 {
+			test.Errorf("the first got %d", status)
+		}
+		for name := range stage.observers {
+			stage.kill(name)
+		}
+		time.Sleep(7 * time.Second)
+		begun := time.Now()
+		if status, told := ask("third"); status != 503 || told.Code != mishap.NoEngine || told.Ending != "not run" {
+			test.Errorf("no engine: %d %+v", status, told)
+		}
+		if took := time.Since(begun); took > 600*time.Millisecond {
+			test.Errorf("the decline took %v", took)
+		}
+		for _, name := range []string{"core-0", "core-1"} {
+			stage.kill(name)
+		}
+		time.Sleep(2 * time.Second)
+		if status, told := ask("fourth"); status != 503 || told.Code != mishap.RouterStale || told.Ending != "not run" {
+			test.Errorf("a stale router: %d %+v", status, told)
+		}
+	})
+}
