--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -109,6 +109,8 @@
 	Versions []string
 	Reader   string
 	Avoid    map[string]bool
+	// Match, if set, tells which engines the template lets serve the request.
+	Match func(Engine, string) bool
 }
 
 // Pick is a chosen engine; its Done must be called once.
@@ -240,6 +242,9 @@
 	if !slices.Contains(want.Versions, held.report.Version) {
 		return false
 	}
+	if want.Match != nil && !want.Match(held.Engine, held.report.Version) {
+		return false
+	}
 	return want.Reader == "" || table.paired(want.Reader, held.Name)
 }
 
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -44,6 +44,8 @@
 		"unknown field":    {good + "\nhals: 1", "hals"},
 		"unknown inside":   {good + "\ntenants: t: kindz: 1", "kindz"},
 		"unknown deeper":   {good + "\ntenants: t: kinds: k: repeats: true", "repeats"},
+		"bad rule":         {good + "\ntenants: t: kinds: k: match: \"engineHall < 3\"", "tenants.t.kinds.k: "},
+		"rule of another":  {good + "\ntenants: t: kinds: k: repeatWhen: \"engineHall == hall\"", "engineHall"},
 		"no halls":         {`services: {}`, "halls"},
 		"unknown service":  {good + "\ntenants: t: kinds: x: {service: \"y\", abandonMilliseconds: 3000}", "tenants.t.kinds.x.service"},
 		"unknown prefix":   {good + "\ntenants: t: kinds: k: prefix: \"book\"", "tenants.t.kinds.k.prefix"},
--- a/internal/configuration/plan.go
+++ b/internal/configuration/plan.go
@@ -16,6 +16,7 @@
 	"cuelang.org/go/cue/parser"
 
 	"coursepass/internal/mishap"
+	"coursepass/internal/rule"
 	"coursepass/internal/schedule"
 )
 
@@ -46,6 +47,8 @@
 	Priority            int    `json:"priority"`
 	Repeat              bool   `json:"repeat"`
 	MostTokens          int    `json:"mostTokens"`
+	Match               string `json:"match"`
+	RepeatWhen          string `json:"repeatWhen"`
 }
 
 // OneShot tells whether a request must never be run a second time.
@@ -225,6 +228,11 @@
 			if _, held := service.Prefixes[template.Prefix]; template.Prefix != "" && !held {
 				return mishap.New(mishap.ConfigurationInvalid, "%s.prefix: service %q has no prefix %q", place, template.Service, template.Prefix)
 			}
+			for kind, text := range map[rule.Kind]string{rule.Match: template.Match, rule.Repeat: template.RepeatWhen} {
+				if _, failure := rule.Read(kind, text); text != "" && failure != nil {
+					return mishap.Wrap(failure, mishap.ConfigurationInvalid, place)
+				}
+			}
 			if template.StartMilliseconds > template.AbandonMilliseconds {
 				return mishap.New(mishap.ConfigurationInvalid, "%s.startMilliseconds is above abandonMilliseconds", place)
 			}
--- a/internal/configuration/schema.cue
+++ b/internal/configuration/schema.cue
@@ -18,6 +18,8 @@
 	priority?:            int & >=1 & <=9
 	repeat?:              bool
 	mostTokens?:          int & >=1 & <=4096
+	match?:               string
+	repeatWhen?:          string
 }
 
 #Tenant: {
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -17,6 +17,7 @@
 	"coursepass/internal/engine"
 	"coursepass/internal/mishap"
 	"coursepass/internal/relay"
+	"coursepass/internal/rule"
 	"coursepass/internal/schedule"
 )
 
@@ -73,12 +74,35 @@
 // lets the request be repeated. The budget of repeats has its say after that.
 func (router *Router) mayRepeat(passing *passage) bool {
 	proved := passing.State == relay.Matched
-	return passing.Tries < mostTries && (proved || !passing.template.OneShot() && passing.retry)
+	if passing.Tries >= mostTries || !proved && (passing.template.OneShot() || !passing.retry) {
+		return false
+	}
+	said := rule.Known(rule.Repeat, passing.template.RepeatWhen)
+	return said == nil || said.Holds(router.names(passing, rule.Names{
+		"tries": passing.Tries, "proved": proved, "leftMilliseconds": int64((passing.abandon - router.clock.Now()) / schedule.Millisecond),
+	}))
+}
+
+// names are what the template's rules see of a request.
+func (router *Router) names(passing *passage, values rule.Names) rule.Names {
+	values["tokens"], values["promptBytes"], values["hall"] = passing.Tokens, len(passing.Prompt), router.Machine.Hall
+	return values
+}
+
+// match is the template's rule on engines, if it has one.
+func (router *Router) match(passing *passage) func(catalogue.Engine, string) bool {
+	said := rule.Known(rule.Match, passing.template.Match)
+	if said == nil {
+		return nil
+	}
+	return func(each catalogue.Engine, version string) bool {
+		return said.Holds(router.names(passing, rule.Names{"engineName": each.Name, "engineHall": each.Hall, "engineVersion": version}))
+	}
 }
 
 // find waits for engines with room as long as the start can still be met.
 func (router *Router) find(bounded context.Context, passing *passage, work string, choose func(schedule.Microseconds, catalogue.Want) (found, fit bool)) error {
-	want := catalogue.Want{Hall: router.Machine.Hall, Versions: passing.service.Versions, Avoid: passing.avoid}
+	want := catalogue.Want{Hall: router.Machine.Hall, Versions: passing.service.Versions, Avoid: passing.avoid, Match: router.match(passing)}
 	for {
 		now := router.clock.Now()
 		found, fit := choose(now, want)
--- a/internal/simulation/stage_ends_test.go
+++ b/internal/simulation/stage_ends_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -56,6 +57,39 @@
 	})
 }
 
+// A template's rules keep its requests to the engines of one hall.
+func TestRulesChooseEngines(test *testing.T) {
+	play(test, func(stage *stage) {
+		text, failure := os.ReadFile("../../examples/asociacion.cue")
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		path := filepath.Join(stage.folder, "rules.cue")
+		ruled := strings.Replace(string(text), "mostTokens: 48}", `mostTokens: 48, match: "engineHall == \\"centro\\" || tokens > 40"}`, 1)
+		if failure := os.WriteFile(path, []byte(strings.ReplaceAll(ruled, `\\"`, `\"`)), 0o600); failure != nil {
+			test.Fatal(failure)
+		}
+		apply := &operator.Apply{Change: stage.change()}
+		apply.Arguments.File = path
+		if failure := apply.Run(); failure != nil {
+			test.Fatal(failure)
+		}
+		time.Sleep(time.Second)
+		for number := range 12 {
+			body := fmt.Sprintf(`{"tenant":"asociacion","kind":"reply","key":"ruled-%d","prompt":"x","tokens":4}`, number)
+			if status, told := stage.post("http://"+stage.routPub[number%3]+"/v1/answer", body, nil); status != 200 {
+				test.Errorf("%d %+v", status, told)
+			}
+		}
+		for number := range 6 {
+			name := fmt.Sprint("engine-", number)
+			if begun := stage.begun(name); (begun > 0) != (number%3 == 1) {
+				test.Errorf("%s has begun %d runs", name, begun)
+			}
+		}
+	})
+}
+
 func TestWhatCannotBeServedIsDeclinedAsNotRun(test *testing.T) {
 	play(test, func(stage *stage) {
 		url := "http://" + stage.routPub[0] + "/v1/answer"
