Order an engine away only once it is out of the signed contract; turn back

An engine that plays both is paired for the part it is about to get. Ruled out: stalls and mishaps (none counted), full or cold engines. Operators can turn back to the document before, as a new sequence.

--- a/cmd/coursepass/main.go
+++ b/cmd/coursepass/main.go
@@ -34,6 +34,7 @@
 	Load     loadCommand       `command:"load" description:"generate load, measure it and check every answer"`
 	Apply    operator.Apply    `command:"apply" description:"put a whole configuration in force"`
 	Change   operator.Small    `command:"change" description:"change parameters of the configuration in force"`
+	TurnBack operator.TurnBack `command:"turn-back" description:"put the document before the present one in force again"`
 	Evacuate operator.Evacuate `command:"evacuate" description:"take new work out of a hall, or let it back"`
 	List     operator.List     `command:"list" description:"list a service's engines"`
 	Leave    operator.Leave    `command:"leave" description:"mark an engine as leaving"`
@@ -171,7 +172,7 @@
 	}
 	byName := map[string]any{
 		"core": &all.Core, "router": &all.Router, "engine": &all.Engine, "fleet": &all.Fleet, "load": &all.Load, "apply": &all.Apply,
-		"change": &all.Change, "evacuate": &all.Evacuate, "list": &all.List, "leave": &all.Leave, "show": &all.Show, "status": &all.Status,
+		"change": &all.Change, "evacuate": &all.Evacuate, "turn-back": &all.TurnBack, "list": &all.List, "leave": &all.Leave, "show": &all.Show, "status": &all.Status,
 	}
 	chosen = byName[parser.Active.Name]
 	if failure := setting.ReadFile(parser, settingsOf(chosen), os.Args[1:]); failure != nil {
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"fmt"
 	"os"
 	"testing"
 
@@ -119,6 +120,37 @@
 			}
 		})
 	})
+	Convey("a document can be turned back to, as a new sequence, and evacuations stay", test, func() {
+		state := configuration.NewState()
+		step := func(request configuration.Request) configuration.Outcome {
+			view := state.View()
+			request.Expected, request.Key = view.Sequence, fmt.Sprint(view.Sequence, request.Kind)
+			operation, failure := view.Draft(request)
+			So(failure, ShouldBeNil)
+			var outcome configuration.Outcome
+			So(gob.NewDecoder(bytes.NewReader(state.Apply(configuration.Encode(operation)))).Decode(&outcome), ShouldBeNil)
+			return outcome
+		}
+		So(step(configuration.Request{Kind: configuration.Back}).Code, ShouldEqual, mishap.UnknownOperation)
+		So(step(configuration.Request{Kind: configuration.Whole, Document: example("asociacion")}).Sequence, ShouldEqual, 1)
+		So(step(configuration.Request{Kind: configuration.Small, Changes: map[string]string{"startMilliseconds": "450"}}).Sequence, ShouldEqual, 2)
+		So(step(configuration.Request{Kind: configuration.Evacuate, Hall: "sur"}).Sequence, ShouldEqual, 3)
+		So(step(configuration.Request{Kind: configuration.Whole, Document: example("merrimack")}).Sequence, ShouldEqual, 4)
+		So(state.View().Evacuated, ShouldBeEmpty)
+		So(step(configuration.Request{Kind: configuration.Back}).Sequence, ShouldEqual, 5)
+		now := state.View()
+		template, failure := now.Plan.Template("asociacion", "waiver")
+		So(failure, ShouldBeNil)
+		So(template.StartMilliseconds, ShouldEqual, 450)
+		So(step(configuration.Request{Kind: configuration.Back}).Sequence, ShouldEqual, 6)
+		now = state.View()
+		template, _ = now.Plan.Template("asociacion", "waiver")
+		So(template.StartMilliseconds, ShouldEqual, 500)
+		restored := configuration.NewState()
+		restored.Restore(state.Snapshot())
+		So(restored.View().Plan, ShouldResemble, now.Plan)
+		So(restored.View().Sequence, ShouldEqual, 6)
+	})
 	Convey("an unknown hall is declined without effect", test, func() {
 		view := configuration.NewState().View()
 		_, failure := view.Draft(configuration.Request{Kind: configuration.Evacuate, Key: "x", Hall: "nowhere"})
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -18,6 +18,7 @@
 	Small    Kind = "change"
 	Evacuate Kind = "evacuate"
 	Return   Kind = "return"
+	Back     Kind = "turn-back"
 )
 
 // Request is what an operator sends. Expected is the sequence it builds on; the
@@ -75,6 +76,7 @@
 		maps.Copy(merged, request.Changes)
 		operation.Changes = merged
 		operation.Plan, failure = Expand(view.Document, merged)
+	case Back:
 	case Evacuate, Return:
 		if !view.Plan.HasHall(request.Hall) {
 			failure = mishap.New(mishap.UnknownHall, "hall %q", request.Hall)
@@ -89,10 +91,22 @@
 	return mishap.New(mishap.SequenceStale, "built on sequence %d, but %d is in force", expected, present)
 }
 
-const remembered = 1024
+const (
+	remembered = 1024
+	turns      = 3
+)
+
+// Document is a document with the changes made to it.
+type Document struct {
+	Document string
+	Changes  map[string]string
+	Plan     Plan
+}
 
 type memory struct {
 	View
+	// Before are the last documents that were in force, newest last.
+	Before   []Document
 	Outcomes map[string]Outcome
 	Order    []string
 }
@@ -134,12 +148,21 @@
 		failure := stale(operation.Expected, state.Sequence)
 		return Outcome{Code: mishap.SequenceStale, Sequence: state.Sequence, Text: mishap.Text(failure)}
 	}
+	if operation.Kind == Back && len(state.Before) == 0 {
+		return Outcome{Code: mishap.UnknownOperation, Sequence: state.Sequence, Text: "no earlier document is known"}
+	}
 	state.Sequence++
 	switch operation.Kind {
+	case Back:
+		last := state.Before[len(state.Before)-1]
+		state.Before = slices.Clone(state.Before[:len(state.Before)-1])
+		state.Document, state.Changes, state.Plan = last.Document, last.Changes, last.Plan
 	case Whole:
+		state.keep()
 		state.Document, state.Changes, state.Plan = operation.Document, nil, operation.Plan
 		state.Evacuated = slices.DeleteFunc(slices.Clone(state.Evacuated), func(hall string) bool { return !state.Plan.HasHall(hall) })
 	case Small:
+		state.keep()
 		state.Changes, state.Plan = operation.Changes, operation.Plan
 	case Evacuate:
 		if !state.Gone(operation.Hall) {
@@ -151,6 +174,18 @@
 	return Outcome{Sequence: state.Sequence}
 }
 
+// keep remembers what is in force before it is replaced, so that it can be turned
+// back to; the first document has nothing before it.
+func (state *State) keep() {
+	if state.Document == "" {
+		return
+	}
+	state.Before = append(slices.Clone(state.Before), Document{state.Document, state.Changes, state.Plan})
+	if len(state.Before) > turns {
+		state.Before = slices.Clone(state.Before[1:])
+	}
+}
+
 func (state *State) remember(key string, outcome Outcome) {
 	state.Outcomes[key] = outcome
 	state.Order = append(state.Order, key)
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -27,7 +27,8 @@
 	suspectSpan = 2 * schedule.Second
 	orderBudget = 600 * schedule.Millisecond
 	settleSpan  = 5 * schedule.Second
-	moveSpan    = 900 * schedule.Millisecond
+	// moveSpan is longer than a router may go on without a fresh majority read.
+	moveSpan = 1900 * schedule.Millisecond
 )
 
 type soft struct {
@@ -177,7 +178,7 @@
 func (duty *duty) draw(service string, round uint64, view catalogue.View, plan configuration.View) (contract.Contract, map[string]order.Standing) {
 	duty.lock.Lock()
 	defer duty.lock.Unlock()
-	now := duty.core.clock.Now()
+	now, signed := duty.core.clock.Now(), view.Contracts[service]
 	var live, steady []*soft
 	standing := map[string]order.Standing{}
 	var candidates []contract.Candidate
@@ -192,7 +193,7 @@
 		}
 		if engine.Leaving || plan.Gone(engine.Hall) || known.Draining {
 			steady = steady[:len(steady)-1]
-			if known.leaves(now) {
+			if known.leaves(now, signed) {
 				standing[name] = order.Standing{Part: known.Part, Drain: true}
 			}
 			continue
@@ -207,13 +208,18 @@
 		duty.assign(service+"/"+version, now, each)
 	}
 	for _, each := range live {
-		if !duty.moves(now, each) && !each.Drained {
-			candidates = append(candidates, contract.Candidate{Name: each.Name, Hall: each.Hall, Version: each.Version, Part: each.Part})
+		if !duty.moves(now, each, signed) && !each.Drained {
+			// An engine that still plays both is paired for the part it is about to get.
+			part := each.Part
+			if wanted := duty.wanted[each.Name]; part == contract.Both && wanted != "" {
+				part = wanted
+			}
+			candidates = append(candidates, contract.Candidate{Name: each.Name, Hall: each.Hall, Version: each.Version, Part: part})
 		}
 	}
 	drawn := contract.Draw(service, duty.core.Machine.Inner, round, candidates)
 	for _, each := range live {
-		if each.moving > 0 && now-each.moving < moveSpan {
+		if duty.moves(now, each, signed) && !each.leaves(now, signed) {
 			continue
 		}
 		wanted := order.Standing{Part: duty.wanted[each.Name]}
@@ -225,10 +231,14 @@
 	return drawn, standing
 }
 
-// leaves notes that an engine is out of the contract, and tells whether the routers
-// have had time to hear of it, so that no request meets an engine that has just
-// changed.
-func (known *soft) leaves(now schedule.Microseconds) bool {
+// leaves notes since when an engine is out of the contract that was signed, and tells
+// whether every router that still takes work must have heard of it, so that no request
+// meets an engine that has just changed.
+func (known *soft) leaves(now schedule.Microseconds, signed contract.Contract) bool {
+	if _, paired := signed.Parts[known.Name]; paired {
+		known.moving = 0
+		return false
+	}
 	if known.moving == 0 {
 		known.moving = now
 	}
@@ -237,12 +247,12 @@
 
 // moves tells whether an engine is between its parts: out of the contract, and
 // ordered over once it has left.
-func (duty *duty) moves(now schedule.Microseconds, each *soft) bool {
+func (duty *duty) moves(now schedule.Microseconds, each *soft, signed contract.Contract) bool {
 	if each.Part == contract.Both || each.Part == duty.wanted[each.Name] {
 		each.moving = 0
 		return false
 	}
-	each.leaves(now)
+	each.leaves(now, signed)
 	return true
 }
 
--- a/internal/core/duty_test.go
+++ b/internal/core/duty_test.go
@@ -67,6 +67,35 @@
 	})
 }
 
+func TestAnEngineInTheSignedContractIsNotOrderedAway(test *testing.T) {
+	Convey("the routers may still send to it: neither moved nor drained", test, func() {
+		duty, view := sixEngines()
+		drawn, standing := duty.draw("s", 1, view, configuration.View{})
+		So(drawn.Parts["engine-0"], ShouldEqual, standing["engine-0"].Part)
+		So(drawn.Parts["engine-0"], ShouldNotEqual, contract.Both)
+		view.Contracts["s"] = drawn
+		for name, each := range standing {
+			duty.soft[name].Part = each.Part
+		}
+		engine := view.Engines["engine-0"]
+		engine.Leaving = true
+		view.Engines["engine-0"] = engine
+		for range 2 {
+			drawn, standing = duty.draw("s", 1, view, configuration.View{})
+			So(drawn.Parts, ShouldNotContainKey, "engine-0")
+			duty.soft["engine-0"].moving -= 2 * moveSpan
+			So(standing, ShouldNotContainKey, "engine-0")
+		}
+		view.Contracts["s"] = drawn
+		duty.soft["engine-0"].moving = 0
+		_, standing = duty.draw("s", 1, view, configuration.View{})
+		So(standing, ShouldNotContainKey, "engine-0")
+		duty.soft["engine-0"].moving -= moveSpan
+		_, standing = duty.draw("s", 1, view, configuration.View{})
+		So(standing["engine-0"].Drain, ShouldBeTrue)
+	})
+}
+
 func TestRulingsKeepOnceOnly(test *testing.T) {
 	Convey("no ruling repeats what was streamed or a one-shot that may have started", test, func() {
 		for bits := range 32 {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -142,6 +142,7 @@
 // Apply puts a whole document in force.
 type Apply struct {
 	Change
+	Check     bool `long:"check" description:"only check the document, and change nothing"`
 	Arguments struct {
 		File string `positional-arg-name:"file" description:"configuration in CUE"`
 	} `positional-args:"yes" required:"yes"`
@@ -156,6 +157,10 @@
 	if _, failure := configuration.Expand(string(text), nil); failure != nil {
 		return failure
 	}
+	if apply.Check {
+		fmt.Println("the document can be applied")
+		return nil
+	}
 	return apply.operate(configuration.Request{Kind: configuration.Whole, Document: string(text)})
 }
 
@@ -180,6 +185,14 @@
 	return small.operate(configuration.Request{Kind: configuration.Small, Changes: changes})
 }
 
+// TurnBack puts the document before the present one in force again.
+type TurnBack struct{ Change }
+
+// Run asks for it.
+func (turn *TurnBack) Run() error {
+	return turn.operate(configuration.Request{Kind: configuration.Back})
+}
+
 // Evacuate takes all new work out of a hall, or lets it back.
 type Evacuate struct {
 	Change
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -27,7 +27,7 @@
 		"--name":        func(settings *core.Settings) { settings.Place.Name = "Core 0" },
 		"--hall":        func(settings *core.Settings) { settings.Hall = "" },
 		"--public":      func(settings *core.Settings) { settings.Public = "localhost:80" },
-		"--inner":       func(settings *core.Settings) { settings.Inner.Inner = "10.0.0.9:1" },
+		"--inner":       func(settings *core.Settings) { settings.Inner.Inner = "somewhere:1" },
 		"--seed":        func(settings *core.Settings) { settings.Seeds = settings.Seeds[:2] },
 		"--parts":       func(settings *core.Settings) { settings.Parts = 1 },
 		"--delta-ms":    func(settings *core.Settings) { settings.Delta = 1 },
