--- a/internal/simulation/stage_plays_test.go
+++ b/internal/simulation/stage_plays_test.go
@@ -1,6 +1,7 @@
 package simulation_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -225,3 +226,37 @@
 		}
 	})
 }
+
+// Two cores lose their disks at once, in each choice of two; the third keeps its own.
+func TestTwoCoresLoseTheirDisks(test *testing.T) {
+	for spared := range 3 {
+		test.Run(fmt.Sprint("spared ", spared), func(test *testing.T) {
+			play(test, func(stage *stage) {
+				small := &operator.Small{Change: stage.change()}
+				small.Arguments.Pairs = []string{"startMilliseconds=450"}
+				if failure := small.Run(); failure != nil {
+					test.Fatal(failure)
+				}
+				for number := range 3 {
+					if number != spared {
+						stage.kill(fmt.Sprint("core-", number))
+						stage.wipe(fmt.Sprint("core-", number))
+					}
+				}
+				time.Sleep(time.Second)
+				for number := range 3 {
+					if number != spared {
+						stage.wake(fmt.Sprint("core-", number))
+					}
+				}
+				if span := stage.recovers(); span > recovery {
+					test.Errorf("serving came back only after %v", span)
+				}
+				var shown struct{ Sequence uint64 }
+				if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 2 {
+					test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, failure)
+				}
+			})
+		})
+	}
+}
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -42,6 +42,7 @@
 	"leader-killed": leaderKilled,
 	"leader-frozen": leaderFrozen,
 	"core-wiped":    coreWiped,
+	"core-moved":    coreMoved,
 	"cores-killed":  coresKilled,
 	"engine-killed": engineKilled,
 	"engine-frozen": engineFrozen,
@@ -226,6 +227,55 @@
 	return crowd.cores[number].start()
 }
 
+// coreMoved has a core machine come back empty at a new address, and then kills
+// another, so that the returned one is needed for every majority.
+func coreMoved(context context.Context, crowd *crowd) error {
+	free, failure := addresses(2)
+	if failure != nil {
+		return failure
+	}
+	moved := crowd.cores[2]
+	fmt.Println("kill core-2 and lose its disk; it comes back at a new address")
+	moved.end(syscall.SIGKILL)
+	if failure := os.RemoveAll(filepath.Join(crowd.folder, moved.name)); failure != nil {
+		return mishap.Wrap(failure, mishap.StartFailed, "wipe")
+	}
+	for place, flag := range moved.flags {
+		switch flag {
+		case "--inner":
+			moved.flags[place+1] = free[0]
+		case "--public":
+			moved.flags[place+1] = free[1]
+		}
+	}
+	crowd.corePub[2] = free[1]
+	pause(context, time.Second)
+	begun := time.Now()
+	if failure := moved.start(); failure != nil {
+		return failure
+	}
+	for !crowd.seated(2) && time.Since(begun) < 30*time.Second {
+		pause(context, 50*time.Millisecond)
+	}
+	fmt.Printf("core-2 has its seats %d ms after its start; kill core-0\n", time.Since(begun).Milliseconds())
+	crowd.cores[0].end(syscall.SIGKILL)
+	crowd.awaitLeader(context, 0, time.Now())
+	return nil
+}
+
+func (crowd *crowd) seated(number int) bool {
+	var overview core.Overview
+	if get(crowd.corePub[number], "/v1/status", &overview) != nil || len(overview.Parts) == 0 {
+		return false
+	}
+	for _, part := range overview.Parts {
+		if part.Slot < 0 || part.Recovering || !part.Current {
+			return false
+		}
+	}
+	return true
+}
+
 func coresKilled(context context.Context, crowd *crowd) error {
 	fmt.Println("kill all cores, start them again after 2 s")
 	for _, each := range crowd.cores {
