--- a/internal/core/seek.go
+++ b/internal/core/seek.go
@@ -137,10 +137,13 @@
 	circuit.Answer(core.inner, joinPath, func(context context.Context, joining *Joining) (*Seats, error) {
 		answer := &Seats{Parts: make([]part.Bindings, len(core.shards))}
 		for index, shard := range core.shards {
-			shard.ask(context, func() {
+			var found part.Bindings
+			if shard.ask(context, func() {
 				shard.enrol(core.running, *joining)
-				answer.Parts[index] = *shard.seats.Load()
-			})
+				found = *shard.seats.Load()
+			}) {
+				answer.Parts[index] = found
+			}
 		}
 		return answer, nil
 	})
