--- a/internal/part/message.go
+++ b/internal/part/message.go
@@ -80,15 +80,6 @@
 	Applied bool
 }
 
-func (output *Output) join(other Output) {
-	output.Urgent = append(output.Urgent, other.Urgent...)
-	output.Records = append(output.Records, other.Records...)
-	output.Held = append(output.Held, other.Held...)
-	output.Results = append(output.Results, other.Results...)
-	output.Lost = output.Lost || other.Lost
-	output.Applied = output.Applied || other.Applied
-}
-
 // Place says which part and slot a member is, and its lengths.
 type Place struct {
 	Part int
