--- a/internal/simulation/stage_ends_test.go
+++ b/internal/simulation/stage_ends_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,15 +25,91 @@
 func (stage *stage) running() int {
 	sum := 0
 	for name := range stage.observers {
-		var report catalogue.Report
-		alone := operator.Target{Cores: []string{"127.0.2." + name[len("engine-"):] + ":2"}, Network: stage.change().Network}
-		if alone.Get("/report", &report) == nil {
-			sum += report.Running
-		}
+		sum += stage.report(name).Running
 	}
 	return sum
 }
 
+func (stage *stage) report(name string) catalogue.Report {
+	var report catalogue.Report
+	alone := operator.Target{Cores: []string{"127.0.2." + name[len("engine-"):] + ":2"}, Network: stage.change().Network}
+	_ = alone.Get("/report", &report)
+	return report
+}
+
+// An engine dies while a one-shot request is in its hands, in each stage: the caller is
+// told what is known and no more, and the request is never begun a second time.
+func TestEngineDiesInEachStage(test *testing.T) {
+	for name, each := range map[string]struct {
+		after   time.Duration
+		victim  func(catalogue.Report) bool
+		endings []string
+	}{
+		"prefill":   {40 * time.Millisecond, func(report catalogue.Report) bool { return report.Running > 0 }, []string{"unknown"}},
+		"hand-over": {250 * time.Millisecond, func(report catalogue.Report) bool { return report.Tickets > 0 || report.PrefillBusy > 0 }, []string{"run", "unknown"}},
+		"decode":    {500 * time.Millisecond, func(report catalogue.Report) bool { return report.Running > 0 }, []string{"cut"}},
+	} {
+		test.Run(name, func(test *testing.T) {
+			play(test, func(stage *stage) {
+				stage.handOver = 300_000
+				for engine := range stage.observers {
+					stage.kill(engine)
+					stage.engine(int(engine[len("engine-")]-'0'), "r1")
+					stage.wake(engine)
+				}
+				time.Sleep(6 * time.Second)
+				told := make(chan string)
+				go func() {
+					told <- stage.tell(`{"tenant":"asociacion","kind":"waiver","key":"dying","prompt":"x","tokens":16}`)
+				}()
+				time.Sleep(each.after)
+				killed := 0
+				for engine := range stage.observers {
+					if each.victim(stage.report(engine)) {
+						killed++
+						stage.kill(engine)
+					}
+				}
+				if ending := <-told; killed != 1 || !slices.Contains(each.endings, ending) {
+					test.Errorf("%d engines killed, told %q, not one of %v", killed, ending, each.endings)
+				}
+				runs := 0
+				for engine := range stage.lives {
+					if strings.HasPrefix(engine, "engine-") {
+						runs += stage.begun(engine)
+					}
+				}
+				if most := map[string]int{"prefill": 0, "hand-over": 1, "decode": 1}[name]; runs > most {
+					test.Errorf("%d runs stand in the books of the engines that live", runs)
+				}
+			})
+		})
+	}
+}
+
+// tell sends a request and says how it ended.
+func (stage *stage) tell(body string) string {
+	transport := circuit.NewTransport(circuit.Options{Network: simulation.Port{Fabric: stage.Fabric, Machine: "caller"}, Meter: hall.NewMeter("")})
+	transport.DisableKeepAlives = true
+	answer, failure := (&http.Client{Transport: transport}).Post("http://"+stage.routPub[0]+"/v1/answer", "application/json", strings.NewReader(body))
+	if failure != nil {
+		return failure.Error()
+	}
+	defer answer.Body.Close()
+	text, failure := io.ReadAll(answer.Body)
+	var told circuit.Decline
+	switch {
+	case answer.StatusCode != http.StatusOK:
+		_ = json.Unmarshal(text, &told)
+		return told.Ending
+	case failure != nil:
+		return "cut"
+	case strings.Contains(string(text), `"final":true`):
+		return "whole"
+	}
+	return "cut, but looks whole"
+}
+
 // A caller leaves after the first frame of a long answer: the engine is free again
 // long before the answer would have ended.
 func TestACallerWhoLeavesFreesTheEngine(test *testing.T) {
--- a/internal/simulation/stage_test.go
+++ b/internal/simulation/stage_test.go
@@ -34,6 +34,7 @@
 	seeds     []string
 	corePub   []string
 	routPub   []string
+	handOver  int
 }
 
 type life struct {
@@ -54,7 +55,7 @@
 	synctest.Test(test, func(test *testing.T) {
 		stage := &stage{
 			T: test, Fabric: simulation.NewFabric(200), lives: map[string]*life{}, folder: folder,
-			observers: map[string]*engine.Observer{}, start: map[string]func() func(context.Context) error{},
+			observers: map[string]*engine.Observer{}, handOver: 3000, start: map[string]func() func(context.Context) error{},
 		}
 		defer stage.end()
 		stage.build(3, 3, 6)
@@ -143,7 +144,7 @@
 	}
 	settings := engine.Settings{
 		Name: name, Hall: halls[number%3], Service: "reservas", Version: version, Address: fmt.Sprintf("127.0.2.%d:2", number),
-		Cores: stage.corePub, Slots: 8, Read: 20, Write: 8000, HandOver: 3000, Keep: 5000, Lease: 3000,
+		Cores: stage.corePub, Slots: 8, Read: 20, Write: 8000, HandOver: stage.handOver, Keep: 5000, Lease: 3000,
 	}
 	stage.start[name] = func() func(context.Context) error {
 		port := simulation.Port{Fabric: stage.Fabric, Machine: name}
