Let the engines' books outlive the engines

Cause: runs at a killed engine were not checked, since its book went with it. The book is kept by the observer in the plays and in a file (--book) for processes; the load counts how many books were read and how many are missing.

--- a/cmd/coursepass/main.go
+++ b/cmd/coursepass/main.go
@@ -92,7 +92,15 @@
 // Run runs a stand-in engine.
 func (command *engineCommand) Run() error {
 	level(command.Level)
-	each, failure := engine.New(command.Settings, engine.NewObserver(schedule.Microseconds(command.Lease)*schedule.Millisecond), circuit.System)
+	observer := engine.NewObserver(schedule.Microseconds(command.Lease) * schedule.Millisecond)
+	if command.Settings.Book != "" {
+		book, failure := engine.OpenBook(command.Settings.Book)
+		if failure != nil {
+			return failure
+		}
+		observer.Book = book
+	}
+	each, failure := engine.New(command.Settings, observer, circuit.System)
 	if failure != nil {
 		return failure
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,6 +37,7 @@
 	Write    int      `long:"write-us" description:"microseconds to make one token" default:"8000"`
 	HandOver int      `long:"handover-us" description:"microseconds to hand prompt memory over" default:"3000"`
 	Keep     int      `long:"keep-ms" description:"milliseconds that prompt memory is held for a ticket" default:"5000"`
+	Book     string   `long:"book" description:"file of the book of runs begun, so that it outlives the process; kept in memory if not given"`
 	Lease    int      `long:"lease-ms" description:"the fleet's lease-ms, for the observer" default:"3000"`
 	Level    string   `long:"log-level" description:"lowest level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
 }
@@ -89,7 +90,6 @@
 	memories    map[string]memory
 	runs        map[string]context.CancelFunc
 	cancelled   map[string]bool
-	lines       []Line
 	prefillBusy atomic.Int64
 	decodeBusy  atomic.Int64
 	completed   atomic.Int64
@@ -183,9 +183,7 @@
 }
 
 func (engine *Engine) ledger() Ledger {
-	engine.lock.Lock()
-	defer engine.lock.Unlock()
-	return Ledger{Lines: append([]Line(nil), engine.lines...), Violations: engine.Observer.Violations()}
+	return Ledger{Lines: engine.Observer.Lines(), Violations: engine.Observer.Violations()}
 }
 
 func (engine *Engine) takeOrder(writer http.ResponseWriter, request *http.Request) {
--- a/internal/engine/observer.go
+++ b/internal/engine/observer.go
@@ -11,7 +11,8 @@
 // Observer watches one engine through all its lives. It knows nothing of how the
 // fleet works: it sees orders and starts, and flags what must never happen.
 type Observer struct {
-	Lease      schedule.Microseconds
+	Lease schedule.Microseconds
+	*Book
 	lock       sync.Mutex
 	highest    uint64
 	holder     string
@@ -22,7 +23,7 @@
 
 // NewObserver watches for holders that take turns within the lease.
 func NewObserver(lease schedule.Microseconds) *Observer {
-	return &Observer{Lease: lease, lastBy: map[string]schedule.Microseconds{}}
+	return &Observer{Lease: lease, Book: &Book{}, lastBy: map[string]schedule.Microseconds{}}
 }
 
 // Order sees an order arrive.
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -15,6 +15,9 @@
 	LedgerPath   = "/ledger"
 )
 
+// Void is the stage of a decode that never had its prompt memory.
+const Void = "void"
+
 // LoadHeader tells how many runs the engine has, on each of its answers.
 const LoadHeader = "Engine-Running"
 
@@ -75,15 +78,7 @@
 	Run string `json:"run"`
 }
 
-// Line is what the engine's own book says of one run.
-type Line struct {
-	Key      string `json:"key"`
-	Run      string `json:"run"`
-	Stage    string `json:"stage"`
-	Finished bool   `json:"finished"`
-}
-
-// Ledger is the engine's book: all runs begun in this life, and violations seen.
+// Ledger is the engine's book: all runs begun in any life, and violations seen.
 type Ledger struct {
 	Lines      []Line   `json:"lines"`
 	Violations []string `json:"violations"`
--- a/internal/engine/work.go
+++ b/internal/engine/work.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"coursepass/internal/circuit"
@@ -52,7 +51,7 @@
 
 // begin admits a run or declines it with an answer that proves that it did not
 // start.
-func (engine *Engine) begin(parent context.Context, stage, part, run, key, service, version string) (context.Context, func(bool), error) {
+func (engine *Engine) begin(parent context.Context, stage, part, run, key, service, version string) (context.Context, func(verdict), error) {
 	engine.lock.Lock()
 	defer engine.lock.Unlock()
 	now := engine.clock.Now()
@@ -76,18 +75,17 @@
 		return nil, nil, mishap.New(mishap.EngineBusy, "%s", engine.Name)
 	}
 	engine.running++
-	place := len(engine.lines)
-	engine.lines = append(engine.lines, Line{Key: key, Run: run, Stage: stage})
+	place := engine.Observer.begin(Line{Key: key, Run: run, Stage: stage})
 	running, stop := context.WithCancel(parent)
 	engine.runs[run] = stop
-	return running, func(finished bool) {
+	return running, func(verdict verdict) {
 		stop()
 		engine.lock.Lock()
 		defer engine.lock.Unlock()
 		engine.running--
-		engine.lines[place].Finished = finished
+		engine.Observer.finish(place, verdict)
 		delete(engine.runs, run)
-		if finished {
+		if verdict == finished {
 			engine.completed.Add(1)
 		}
 	}, nil
@@ -109,12 +107,12 @@
 		tokens += ask.PrefixTokens
 	}
 	span := schedule.Microseconds(tokens * engine.Read)
-	whole := rest(running, span)
-	end(whole)
-	if !whole {
+	if !rest(running, span) {
+		end(stopped)
 		circuit.WriteDecline(writer, mishap.New(mishap.Cancelled, "%s", ask.Run), "", 0)
 		return
 	}
+	end(finished)
 	engine.prefillBusy.Add(int64(span))
 	circuit.WriteJSON(writer, 200, engine.keep(ask))
 }
@@ -209,11 +207,11 @@
 		circuit.WriteDecline(writer, failure, "", 0)
 		return
 	}
-	finished := false
-	defer func() { end(finished) }()
+	ended := stopped
+	defer func() { end(ended) }()
 	held, failure := engine.fetch(running, ask)
 	if failure != nil {
-		engine.strike(ask.Run)
+		ended = unstarted
 		circuit.WriteDecline(writer, failure, "", 0)
 		return
 	}
@@ -238,18 +236,7 @@
 			return
 		}
 	}
-	finished = send(Frame{Final: true, Count: ask.Tokens})
-}
-
-// strike takes a decode that never had its prompt memory out of the book: it did
-// not start.
-func (engine *Engine) strike(run string) {
-	engine.lock.Lock()
-	defer engine.lock.Unlock()
-	for place := range slices.Backward(engine.lines) {
-		if engine.lines[place].Run == run && engine.lines[place].Stage == contract.Decode {
-			engine.lines[place].Stage = "void"
-			return
-		}
+	if send(Frame{Final: true, Count: ask.Tokens}) {
+		ended = finished
 	}
 }
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -151,6 +151,7 @@
 	for _, each := range listed {
 		var ledger engine.Ledger
 		if run.get(parent, each.Address, engine.LedgerPath, &ledger) != nil {
+			run.figures.Missing++
 			continue
 		}
 		books++
--- a/internal/load/figures.go
+++ b/internal/load/figures.go
@@ -24,6 +24,7 @@
 	Endings    map[string]int    `json:"endings"`
 	Late       int               `json:"lateStarts"`
 	Books      int               `json:"engineBooksRead"`
+	Missing    int               `json:"engineBooksMissing"`
 	Runs       int               `json:"prefillsBegun"`
 	Violations []string          `json:"violations"`
 	Start      map[string]Spread `json:"start"`
@@ -79,7 +80,7 @@
 		_ = json.NewEncoder(writer).Encode(figures)
 		return
 	}
-	fmt.Fprintf(writer, "sent %d, late starts %d, engine books read %d, prefills begun %d\n", figures.Sent, figures.Late, figures.Books, figures.Runs)
+	fmt.Fprintf(writer, "sent %d, late starts %d, engine books read %d, missing %d, prefills begun %d\n", figures.Sent, figures.Late, figures.Books, figures.Missing, figures.Runs)
 	for _, name := range slices.Sorted(maps.Keys(figures.Endings)) {
 		fmt.Fprintf(writer, "  ending %-40s %6d\n", name, figures.Endings[name])
 	}
--- a/internal/trial/processes.go
+++ b/internal/trial/processes.go
@@ -105,7 +105,8 @@
 	}
 	for number := range engines {
 		name := fmt.Sprintf("engine-%d", number)
-		flags := append([]string{"engine", "--name", name, "--hall", hall(number), "--address", free[0], "--service", "reservas", "--version", "r1"}, cores...)
+		flags := append([]string{"engine", "--name", name, "--hall", hall(number), "--address", free[0], "--service", "reservas", "--version", "r1",
+			"--book", filepath.Join(folder, name+".book")}, cores...)
 		crowd.engines = append(crowd.engines, &process{name: name, binary: binary, folder: folder, flags: flags})
 		crowd.engPub, free = append(crowd.engPub, free[0]), free[1:]
 	}
