Soak the whole fleet of real daemons under the virtual clock, by seeds

Both deployments, thirty failures alone and in pairs, racing operators, and observers at callers, engines, operators and the platform. Found on the way: operators queued on a mutex while one waited for the log, beyond their own budgets (a channel now, and the second hears that nothing was changed).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,7 +72,7 @@
 	shards      []*shard
 	duties      []*duty
 	configs     *configuration.State
-	configuring sync.Mutex
+	configuring chan struct{}
 }
 
 // ServicePart is the part that holds a service's engines.
@@ -91,6 +91,9 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if device, simulated := network.(journal.Device); simulated {
+		disk.Device = device
+	}
 	core := &Core{
 		Settings: settings,
 		Machine: machine.Machine{
@@ -99,7 +102,7 @@
 		},
 		clock:   schedule.NewClock(),
 		meter:   hall.NewMeter(settings.Place.Hall),
-		journal: disk, senders: map[string]*sender{},
+		journal: disk, senders: map[string]*sender{}, configuring: make(chan struct{}, 1),
 	}
 	core.inner = circuit.NewInner(settings.Fleet, core.meter, network)
 	view := sibling.NewView(core.Machine, 8, 4, incarnation)
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -112,8 +112,12 @@
 func (core *Core) configure(context context.Context, shard *shard, request configuration.Request) (configuration.Outcome, error) {
 	// One request at a time: whoever comes second then sees the first one's sequence,
 	// and is declined without a costly expansion.
-	core.configuring.Lock()
-	defer core.configuring.Unlock()
+	select {
+	case core.configuring <- struct{}{}:
+		defer func() { <-core.configuring }()
+	case <-context.Done():
+		return configuration.Outcome{}, mishap.New(mishap.NoMajority, "another operation is under way; nothing was changed")
+	}
 	var view configuration.View
 	var earlier configuration.Outcome
 	var known bool
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -193,7 +193,7 @@
 		return
 	}
 	engine.lock.Lock()
-	engine.Observer.Order(engine.clock.Now(), given)
+	engine.Observer.Order(engine.Observer.Now(), given)
 	if given.Drain && !engine.standing.Drain {
 		engine.drainedAt = engine.clock.Now()
 	}
--- a/internal/engine/observer.go
+++ b/internal/engine/observer.go
@@ -13,19 +13,24 @@
 type Observer struct {
 	Lease schedule.Microseconds
 	*Book
+	clock      *schedule.Clock
 	lock       sync.Mutex
 	highest    uint64
 	holder     string
 	lastBy     map[string]schedule.Microseconds
 	orders     int64
 	violations []string
+	chilled    map[string]int
 }
 
 // NewObserver watches for holders that take turns within the lease.
 func NewObserver(lease schedule.Microseconds) *Observer {
-	return &Observer{Lease: lease, Book: &Book{}, lastBy: map[string]schedule.Microseconds{}}
+	return &Observer{Lease: lease, Book: &Book{}, clock: schedule.NewClock(), lastBy: map[string]schedule.Microseconds{}, chilled: map[string]int{}}
 }
 
+// Now is the observer's own clock, which outlives the engine's.
+func (observer *Observer) Now() schedule.Microseconds { return observer.clock.Now() }
+
 // Order sees an order arrive.
 func (observer *Observer) Order(now schedule.Microseconds, given order.Order) {
 	observer.lock.Lock()
@@ -45,6 +50,24 @@
 	observer.lastBy[given.Holder] = now
 }
 
+// Chill sees a cold life of the engine turn work away.
+func (observer *Observer) Chill(incarnation string) {
+	observer.lock.Lock()
+	defer observer.lock.Unlock()
+	observer.chilled[incarnation]++
+}
+
+// Chilled is the most that one life turned away while it was cold.
+func (observer *Observer) Chilled() int {
+	observer.lock.Lock()
+	defer observer.lock.Unlock()
+	most := 0
+	for _, count := range observer.chilled {
+		most = max(most, count)
+	}
+	return most
+}
+
 // Flag notes a violation seen elsewhere in the engine.
 func (observer *Observer) Flag(format string, values ...any) {
 	observer.lock.Lock()
--- a/internal/engine/work.go
+++ b/internal/engine/work.go
@@ -70,6 +70,7 @@
 	case engine.part != contract.Both && engine.part != part:
 		return nil, nil, mishap.New(mishap.EnginePart, "%s plays %s", engine.Name, engine.part)
 	case now-engine.born < coldSpan && engine.running >= coldMost && engine.completed.Load() < 4:
+		engine.Observer.Chill(engine.incarnation)
 		return nil, nil, mishap.New(mishap.EngineCold, "%s", engine.Name)
 	case engine.running >= engine.Slots:
 		return nil, nil, mishap.New(mishap.EngineBusy, "%s", engine.Name)
@@ -162,6 +163,13 @@
 	circuit.WriteJSON(writer, 200, held)
 }
 
+// Lapse forgets all prompt memory that is held for tickets.
+func (engine *Engine) Lapse() {
+	engine.lock.Lock()
+	defer engine.lock.Unlock()
+	clear(engine.memories)
+}
+
 // release gives prompt memory away once, to the bearer of the exact ticket.
 func (engine *Engine) release(ticket Ticket) (Memory, error) {
 	engine.lock.Lock()
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -11,6 +11,7 @@
 	"coursepass/internal/configuration"
 	"coursepass/internal/core"
 	"coursepass/internal/engine"
+	"coursepass/internal/mishap"
 	"coursepass/internal/router"
 	"coursepass/internal/schedule"
 )
@@ -32,7 +33,7 @@
 }
 
 // call sends one request and checks its answer, frame by frame.
-func (run *Run) call(parent context.Context, intended schedule.Microseconds, ask call) {
+func (run *Run) call(parent context.Context, intended schedule.Microseconds, ask call) string {
 	end := ending{call: ask}
 	abandon := intended + ask.template.Abandon()
 	bounded, cancel := context.WithTimeout(parent, (abandon - run.clock.Now()).Duration())
@@ -49,13 +50,13 @@
 		_ = json.NewDecoder(answer.Body).Decode(&told)
 		drain(answer.Body)
 		end.name = told.Name + " (" + told.Ending + ")"
-		run.claim(ask, told.Ending == "not run")
+		run.claim(ask, told)
 	default:
 		run.read(&end, answer)
 		drain(answer.Body)
 	}
-	if end.name != "" && run.claimless(ask.key) {
-		run.claim(ask, false)
+	if answer == nil || answer.StatusCode == http.StatusOK {
+		run.claim(ask, circuit.Decline{})
 	}
 	if bounded.Err() != nil && end.name != "whole" {
 		end.name = "abandoned by the caller"
@@ -64,19 +65,28 @@
 	run.lock.Lock()
 	defer run.lock.Unlock()
 	run.figures.add(end)
+	if run.Watch != nil {
+		run.Watch(Told{Kind: end.kind, Key: end.key, At: intended, Ended: run.clock.Now(), Name: end.name})
+	}
+	return end.name
 }
 
-func (run *Run) claim(ask call, notRun bool) {
-	run.lock.Lock()
-	defer run.lock.Unlock()
-	run.claims[run.Tenant+"/"+ask.key] = claim{oneShot: ask.template.OneShot(), notRun: notRun}
-}
-
-func (run *Run) claimless(key string) bool {
+// claim notes what a caller was told. A key in use is told as not run only if nothing
+// ran under it, at whichever router.
+func (run *Run) claim(ask call, told circuit.Decline) {
 	run.lock.Lock()
 	defer run.lock.Unlock()
-	_, known := run.claims[run.Tenant+"/"+key]
-	return !known
+	key := run.Tenant + "/" + ask.key
+	held, known := run.claims[key]
+	if !known {
+		held = &claim{oneShot: ask.template.OneShot()}
+		run.claims[key] = held
+	}
+	held.sent++
+	if told.Ending == "not run" {
+		held.notRun++
+		held.denied = held.denied || told.Code == mishap.KeyReused
+	}
 }
 
 func (run *Run) read(end *ending, answer *http.Response) {
@@ -173,10 +183,11 @@
 		if claimed.oneShot && (prefills[key] > 1 || decodes[key] > 1) {
 			run.figures.violate("one-shot request ran twice: " + key)
 		}
-		if claimed.notRun && prefills[key]+decodes[key] > 0 {
+		if (claimed.notRun == claimed.sent || claimed.denied) && prefills[key]+decodes[key] > 0 {
 			run.figures.violate("told not run, but ran: " + key)
 		}
 		run.figures.Runs += prefills[key]
+		run.figures.Keys++
 	}
 	return books
 }
--- a/internal/load/figures.go
+++ b/internal/load/figures.go
@@ -26,6 +26,7 @@
 	Books      int               `json:"engineBooksRead"`
 	Missing    int               `json:"engineBooksMissing"`
 	Runs       int               `json:"prefillsBegun"`
+	Keys       int               `json:"keys"`
 	Violations []string          `json:"violations"`
 	Start      map[string]Spread `json:"start"`
 	Whole      map[string]Spread `json:"whole"`
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -33,6 +33,8 @@
 	ShortRate float64  `long:"short-rate" description:"short requests a second" default:"36"`
 	Seconds   int      `long:"seconds" description:"length of the run" default:"20"`
 	Seed      uint64   `long:"seed" description:"seed of arrivals and prompts" default:"1"`
+	Doubled   int      `long:"doubled" description:"of a hundred one-shot requests, how many are sent to two routers at once" default:"0"`
+	Again     int      `long:"again" description:"of a hundred one-shot requests without a whole answer, how many are sent again to another router under their key" default:"0"`
 	JSON      bool     `long:"json" description:"print the figures as JSON"`
 }
 
@@ -67,12 +69,27 @@
 	ready   []string
 	turn    int
 	figures Figures
-	claims  map[string]claim
+	claims  map[string]*claim
+	// Watch, if set, is told of each ending.
+	Watch func(Told)
 }
 
+// claim is what callers were told of one key, by however many routers.
 type claim struct {
 	oneShot bool
-	notRun  bool
+	sent    int
+	notRun  int
+	// denied says that it was told as not run since the key was in use.
+	denied bool
+}
+
+// Told is how one request ended, for whoever watches the run.
+type Told struct {
+	Kind string
+	Key  string
+	// At is the intended moment of arrival, Ended that of the end, on this clock.
+	At, Ended schedule.Microseconds
+	Name      string
 }
 
 // New makes a run from checked settings.
@@ -83,7 +100,7 @@
 	meter := hall.NewMeter("")
 	transport := circuit.NewTransport(circuit.Options{Network: network, Meter: meter})
 	return &Run{
-		Settings: settings, name: crypto.Text(), clock: schedule.NewClock(), claims: map[string]claim{},
+		Settings: settings, name: crypto.Text(), clock: schedule.NewClock(), claims: map[string]*claim{},
 		client: &http.Client{Transport: transport}, figures: NewFigures(),
 	}, nil
 }
@@ -202,7 +219,18 @@
 			prompt: strings.Repeat(fmt.Sprintf("%08x", chance.Uint32()), 8+chance.IntN(40)),
 			tokens: 1 + chance.IntN(template.MostTokens),
 		}
-		group.Go(func() { run.call(parent, intended, ask) })
+		doubled, again := chance.IntN(100) < run.Doubled, chance.IntN(100) < run.Again
+		if !template.OneShot() {
+			doubled, again = false, false
+		}
+		if doubled {
+			group.Go(func() { run.call(parent, intended, ask) })
+		}
+		group.Go(func() {
+			if end := run.call(parent, intended, ask); again && end != "whole" {
+				run.call(parent, run.clock.Now(), ask)
+			}
+		})
 	}
 	group.Wait()
 }
--- a/internal/router/public.go
+++ b/internal/router/public.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 
 	"coursepass/internal/circuit"
@@ -14,11 +16,29 @@
 	Name     string            `json:"name"`
 	Hall     string            `json:"hall"`
 	Ready    bool              `json:"ready"`
+	InForce  InForce           `json:"inForce"`
 	Heads    []news.Head       `json:"heads"`
 	Siblings []machine.Machine `json:"siblings"`
 	Counters map[string]int64  `json:"counters"`
 }
 
+// InForce names the configuration that a router works by.
+type InForce struct {
+	Sequence  uint64            `json:"sequence"`
+	Document  string            `json:"documentSHA256"`
+	Changes   map[string]string `json:"changes"`
+	Evacuated []string          `json:"evacuated"`
+}
+
+func (router *Router) inForce() InForce {
+	view := router.view.Load()
+	if view == nil {
+		return InForce{}
+	}
+	sum := sha256.Sum256([]byte(view.Document))
+	return InForce{view.Sequence, hex.EncodeToString(sum[:]), view.Changes, view.Evacuated}
+}
+
 func (router *Router) public() http.Handler {
 	routes := http.NewServeMux()
 	routes.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, "live") })
@@ -32,7 +52,7 @@
 	routes.HandleFunc("GET /counters", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, router.counters()) })
 	routes.HandleFunc("GET /v1/status", func(writer http.ResponseWriter, _ *http.Request) {
 		circuit.WriteJSON(writer, 200, Overview{
-			Name: router.Machine.Name, Hall: router.Machine.Hall, Ready: router.takes() == nil,
+			Name: router.Machine.Name, Hall: router.Machine.Hall, Ready: router.takes() == nil, InForce: router.inForce(),
 			Heads: router.gossip.Heads(), Siblings: router.gossip.Members(), Counters: router.counters(),
 		})
 	})
--- a/internal/simulation/fabric.go
+++ b/internal/simulation/fabric.go
@@ -20,12 +20,16 @@
 	lock      sync.Mutex
 	listeners map[string]*fabricListener
 	cut       map[[2]string]bool
+	slow      map[[2]string]schedule.Microseconds
+	frozen    map[string]time.Time
+	disks     map[string]*disk
 	circuits  map[*fabricCircuit]bool
 }
 
 // NewFabric has every write take the latency.
 func NewFabric(latency schedule.Microseconds) *Fabric {
-	return &Fabric{Latency: latency, listeners: map[string]*fabricListener{}, cut: map[[2]string]bool{}, circuits: map[*fabricCircuit]bool{}}
+	return &Fabric{Latency: latency, listeners: map[string]*fabricListener{}, cut: map[[2]string]bool{}, slow: map[[2]string]schedule.Microseconds{},
+		frozen: map[string]time.Time{}, disks: map[string]*disk{}, circuits: map[*fabricCircuit]bool{}}
 }
 
 type fabricAddress string
@@ -133,7 +137,7 @@
 
 // Write takes its time, and vanishes across a cut.
 func (circuit *fabricCircuit) Write(data []byte) (int, error) {
-	time.Sleep(circuit.fabric.Latency.Duration())
+	circuit.fabric.rest(circuit.from, circuit.to)
 	circuit.fabric.lock.Lock()
 	broken := circuit.fabric.cut[[2]string{circuit.from, circuit.to}]
 	circuit.swallowed = circuit.swallowed || broken
@@ -173,6 +177,8 @@
 func (fabric *Fabric) Heal() {
 	fabric.lock.Lock()
 	clear(fabric.cut)
+	clear(fabric.slow)
+	clear(fabric.frozen)
 	var lost []*fabricCircuit
 	for circuit := range fabric.circuits {
 		if circuit.swallowed || circuit.other.swallowed {
@@ -188,6 +194,8 @@
 // Kill closes all that a machine listens on and every circuit of it.
 func (fabric *Fabric) Kill(machine string) {
 	fabric.lock.Lock()
+	delete(fabric.disks, machine)
+	delete(fabric.frozen, machine)
 	var lost []interface{ Close() error }
 	for _, listener := range fabric.listeners {
 		if listener.machine == machine {
--- /dev/null
+++ b/internal/simulation/soak_fleet_test.go
@@ -0,0 +1,219 @@
+package simulation_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coursepass/internal/load"
+	"coursepass/internal/schedule"
+	"coursepass/internal/simulation"
+)
+
+var (
+	firstSeed = flag.Uint64("first", 0, "first seed of the whole-fleet soak")
+	soakSeeds = flag.Uint64("seeds", 2, "number of seeds of the whole-fleet soak, for each deployment")
+	doubled   = flag.Int("doubled", 0, "of a hundred one-shot requests, how many are sent to two routers at once")
+	onlyFault = flag.String("only", "", "cause only this failure")
+)
+
+// Both users' fleets: nine machines and nine engines, ten machines and twelve engines.
+func deployments() map[string]deployment {
+	asociacion, merrimack := small(), small()
+	asociacion.routers, asociacion.makers, asociacion.longRate, asociacion.shortRate = 6, 9, 24, 28
+	merrimack.routers, merrimack.makers, merrimack.longRate, merrimack.shortRate = 7, 12, 24, 28
+	merrimack.document, merrimack.service, merrimack.tenant = "../../examples/merrimack.cue", "bulletin", "merrimack"
+	merrimack.long, merrimack.short, merrimack.versions = "flag", "dispatch", []string{"m1", "m2"}
+	merrimack.halls = []string{"lowell", "nashua", "concord"}
+	return map[string]deployment{"asociacion": asociacion, "merrimack": merrimack}
+}
+
+const (
+	soakFails = 16 * time.Second
+	soakAfter = recovery + 4*time.Second
+)
+
+// soak is one seeded run of mixed failures over a whole fleet of real daemons, with
+// observers that see only what callers, engines, operators and the platform see.
+type soak struct {
+	*stage
+	*watch
+	chance *rand.Rand
+	trace  []string
+	begun  time.Time
+	healed time.Time
+	lock   sync.Mutex
+	told   []load.Told
+	gone   map[string]bool
+	moved  map[string]int
+	wiped  bool
+	rush   sync.WaitGroup
+}
+
+// The whole fleet under failures drawn by a seed. Goroutines of one virtual moment run
+// in any order, so a replay may differ in detail; the trace tells what was done.
+func TestWholeFleetSoak(test *testing.T) {
+	if known := faults[*onlyFault]; *onlyFault != "" && known == nil {
+		test.Fatalf("5000 setting-bad: -only %q is no failure", *onlyFault)
+	}
+	for name, deployment := range deployments() {
+		for seed := *firstSeed; seed < *firstSeed+*soakSeeds; seed++ {
+			test.Run(fmt.Sprintf("%s-%d", name, seed), func(test *testing.T) {
+				marked := filepath.Join(test.TempDir(), "marked.cue")
+				text, failure := os.ReadFile(deployment.document)
+				if failure != nil {
+					test.Fatal(failure)
+				}
+				document := strings.Replace(string(text), "parameters: {", "parameters: {\n\tmark: int | *0", 1)
+				if failure := os.WriteFile(marked, []byte(document), 0o644); failure != nil {
+					test.Fatal(failure)
+				}
+				deployment.document = marked
+				playFor(test, deployment, 200, func(stage *stage) {
+					run := &soak{stage: stage, chance: rand.New(rand.NewPCG(seed, 9)), gone: map[string]bool{}, moved: map[string]int{}}
+					run.watch = newWatch(run, document)
+					run.run(seed)
+					if test.Failed() {
+						test.Logf("replay with: go test ./internal/simulation -run 'TestWholeFleetSoak/%s-%d$' -first %d -seeds 1 -v\n%s",
+							name, seed, seed, strings.Join(run.trace, "\n"))
+					}
+				})
+			})
+		}
+	}
+}
+
+func (soak *soak) note(format string, values ...any) {
+	soak.lock.Lock()
+	defer soak.lock.Unlock()
+	soak.trace = append(soak.trace, fmt.Sprintf("%6d ms ", time.Since(soak.begun).Milliseconds())+fmt.Sprintf(format, values...))
+}
+
+func (soak *soak) violate(format string, values ...any) {
+	soak.note("VIOLATION "+format, values...)
+	soak.Errorf(format, values...)
+}
+
+func (soak *soak) run(seed uint64) {
+	soak.begun = time.Now()
+	watching, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, each := range []func(context.Context){soak.look, soak.operateWhole, soak.operateSmall, soak.operateHalls} {
+		group.Go(func() { each(watching) })
+	}
+	group.Go(func() {
+		time.Sleep(time.Second)
+		soak.fail()
+		soak.heal()
+	})
+	figures := soak.drive(seed)
+	stop()
+	group.Wait()
+	soak.rush.Wait()
+	soak.verify(figures)
+	soak.note("sent %d, whole %d, books %d read and %d missing, slowest recovery %v, worst starts %v", figures.Sent, figures.Endings["whole"],
+		figures.Books, figures.Missing, soak.recovered().Round(time.Millisecond), figures.Start)
+	soak.Log(soak.trace[len(soak.trace)-1])
+}
+
+// drive is the callers' load over the whole run.
+func (soak *soak) drive(seed uint64) *load.Figures {
+	run, failure := load.New(load.Settings{
+		Cores: soak.corePub, Routers: soak.routPub, Tenant: soak.tenant, Long: soak.long, Short: soak.short,
+		LongRate: soak.longRate, ShortRate: soak.shortRate, Seconds: int((soakFails + soakAfter) / time.Second), Seed: seed,
+		Doubled: *doubled, Again: 5 * *doubled,
+	}, simulation.Port{Fabric: soak.Fabric, Machine: "caller"})
+	if failure != nil {
+		soak.Fatal(failure)
+	}
+	origin := time.Now().Add(-time.Second)
+	run.Watch = func(told load.Told) {
+		soak.lock.Lock()
+		defer soak.lock.Unlock()
+		told.At += schedule.Microseconds(origin.UnixMicro())
+		soak.told = append(soak.told, told)
+	}
+	figures, failure := run.Drive(context.Background())
+	if failure != nil {
+		soak.Fatal(failure)
+	}
+	for kind := range figures.Start {
+		delete(figures.Start, kind)
+	}
+	return figures
+}
+
+// fail draws failures, alone and in pairs, until their time is up.
+func (soak *soak) fail() {
+	names := faultNames()
+	end := time.Now().Add(soakFails - time.Second)
+	for time.Now().Before(end) {
+		for range 1 + soak.chance.IntN(2) {
+			name := names[soak.chance.IntN(len(names))]
+			if *onlyFault != "" {
+				name = *onlyFault
+			}
+			soak.note("%s", name)
+			faults[name](soak)
+			time.Sleep(time.Duration(soak.chance.IntN(300)) * time.Millisecond)
+		}
+		time.Sleep(time.Duration(500+soak.chance.IntN(3500)) * time.Millisecond)
+		if soak.chance.IntN(3) == 0 {
+			soak.mend()
+		}
+	}
+}
+
+func (soak *soak) heal() {
+	soak.mend()
+	soak.lock.Lock()
+	soak.healed = time.Now()
+	soak.lock.Unlock()
+	soak.note("all healed")
+}
+
+// mend takes all failures away and lets all machines return.
+func (soak *soak) mend() {
+	soak.MendDisks()
+	soak.Heal()
+	for name := range soak.start {
+		if soak.gone[name] {
+			soak.back(name)
+		}
+	}
+	soak.note("mended")
+}
+
+func (soak *soak) down(names ...string) {
+	for _, name := range names {
+		soak.kill(name)
+		soak.gone[name] = true
+	}
+}
+
+func (soak *soak) back(name string) {
+	soak.kill(name)
+	delete(soak.gone, name)
+	soak.returned(name)
+	soak.wake(name)
+}
+
+// recovered is how long after the healing the last request came that was not whole.
+func (soak *soak) recovered() time.Duration {
+	soak.lock.Lock()
+	defer soak.lock.Unlock()
+	last := time.Duration(0)
+	for _, told := range soak.told {
+		if told.Name != "whole" && !strings.HasPrefix(told.Name, "key-reused") {
+			last = max(last, time.Duration(told.At-schedule.Microseconds(soak.healed.UnixMicro()))*time.Microsecond)
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/simulation/soak_watch_test.go
@@ -0,0 +1,329 @@
+package simulation_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"coursepass/internal/circuit"
+	"coursepass/internal/configuration"
+	"coursepass/internal/engine"
+	"coursepass/internal/hall"
+	"coursepass/internal/load"
+	"coursepass/internal/mishap"
+	"coursepass/internal/router"
+	"coursepass/internal/simulation"
+)
+
+// deed is one operation as its operator saw it.
+type deed struct {
+	request configuration.Request
+	digest  string
+	code    mishap.Code
+	outcome configuration.Outcome
+	sent    time.Time
+	ended   time.Time
+}
+
+// span is a time in which something must not have new work.
+type span struct {
+	what, name string
+	from, till time.Time
+}
+
+// watch is all that observers outside the code under test have seen.
+type watch struct {
+	*soak
+	document string
+	client   *http.Client
+	guard    sync.Mutex
+	deeds    []*deed
+	spans    []*span
+	seen     map[string]uint64
+	marks    map[string]time.Time
+	digests  map[string]time.Time
+	inForce  map[uint64]string
+	looks    int
+	marked   int
+}
+
+func newWatch(soak *soak, document string) *watch {
+	transport := circuit.NewTransport(circuit.Options{Network: simulation.Port{Fabric: soak.Fabric, Machine: "platform"}, Meter: hall.NewMeter("")})
+	transport.DisableKeepAlives = true
+	return &watch{
+		soak: soak, document: document, client: &http.Client{Transport: transport, Timeout: 5 * time.Second}, seen: map[string]uint64{},
+		marks: map[string]time.Time{}, digests: map[string]time.Time{}, inForce: map[uint64]string{},
+	}
+}
+
+// operate sends an operation to a core, and to the next only while it was not taken.
+func (watch *watch) operate(request configuration.Request) *deed {
+	request.Key = rand.Text()
+	done := &deed{request: request, sent: time.Now(), code: mishap.OutcomeUnknown}
+	sum := sha256.Sum256([]byte(request.Document))
+	done.digest = hex.EncodeToString(sum[:])
+	body, _ := json.Marshal(request)
+	for turn := range 6 {
+		answer, failure := watch.client.Post("http://"+watch.corePub[turn%3]+"/v1/operations", "application/json", bytes.NewReader(body))
+		if failure != nil {
+			break
+		}
+		var told circuit.Decline
+		if answer.StatusCode == http.StatusOK {
+			if json.NewDecoder(answer.Body).Decode(&done.outcome) == nil {
+				done.code = done.outcome.Code
+			}
+		} else if json.NewDecoder(answer.Body).Decode(&told) == nil {
+			done.code = told.Code
+		}
+		answer.Body.Close()
+		if done.code != mishap.NotOwner && done.code != mishap.NoMajority {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	done.ended = time.Now()
+	watch.guard.Lock()
+	defer watch.guard.Unlock()
+	watch.deeds = append(watch.deeds, done)
+	return done
+}
+
+func (watch *watch) fetch(address, path string, into any) bool {
+	answer, failure := watch.client.Get("http://" + address + path)
+	if failure != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusOK && json.NewDecoder(answer.Body).Decode(into) == nil
+}
+
+func (watch *watch) shown() (shown configuration.View, known bool) {
+	for _, address := range watch.corePub {
+		if known = watch.fetch(address, "/v1/configuration", &shown); known {
+			return shown, true
+		}
+	}
+	return shown, false
+}
+
+// small makes one small change with a mark of its own.
+func (watch *watch) small() {
+	watch.guard.Lock()
+	watch.marked++
+	mark := watch.marked
+	watch.guard.Unlock()
+	if shown, known := watch.shown(); known {
+		watch.operate(configuration.Request{Kind: configuration.Small, Expected: shown.Sequence, Changes: map[string]string{"mark": fmt.Sprint(mark)}})
+	}
+}
+
+func (watch *watch) operateSmall(context context.Context) {
+	for context.Err() == nil {
+		watch.small()
+		time.Sleep(700 * time.Millisecond)
+	}
+}
+
+func (watch *watch) operateWhole(context context.Context) {
+	for number := 1; context.Err() == nil; number++ {
+		if shown, known := watch.shown(); known {
+			document := fmt.Sprintf("%s\n// whole %d\n", watch.document, number)
+			watch.operate(configuration.Request{Kind: configuration.Whole, Expected: shown.Sequence, Document: document})
+		}
+		time.Sleep(2300 * time.Millisecond)
+	}
+}
+
+// operateHalls evacuates a hall and lets it back, again and again.
+func (watch *watch) operateHalls(context context.Context) {
+	for turn := 0; context.Err() == nil; turn++ {
+		name := watch.halls[turn%3]
+		if shown, known := watch.shown(); known {
+			done := watch.operate(configuration.Request{Kind: configuration.Evacuate, Expected: shown.Sequence, Hall: name})
+			if done.code == mishap.Fine {
+				empty := &span{what: "hall", name: name, from: done.ended.Add(5 * time.Second)}
+				watch.guard.Lock()
+				watch.spans = append(watch.spans, empty)
+				watch.guard.Unlock()
+				time.Sleep(7 * time.Second)
+				watch.guard.Lock()
+				empty.till = time.Now()
+				watch.guard.Unlock()
+			}
+			for range 40 {
+				if shown, known = watch.shown(); known {
+					if done := watch.operate(configuration.Request{Kind: configuration.Return, Expected: shown.Sequence, Hall: name}); done.code == mishap.Fine {
+						break
+					}
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
+		time.Sleep(3 * time.Second)
+	}
+}
+
+// leave lists an engine as leaving; three seconds later it must get nothing new.
+func (watch *watch) leave(name string) bool {
+	answer, failure := watch.client.Post("http://"+watch.corePub[0]+"/v1/services/"+watch.service+"/engines/"+name+"/leave", "application/json", nil)
+	if failure != nil {
+		return false
+	}
+	answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return false
+	}
+	watch.guard.Lock()
+	defer watch.guard.Unlock()
+	watch.spans = append(watch.spans, &span{what: "engine", name: name, from: time.Now().Add(3 * time.Second)})
+	return true
+}
+
+// returned ends the time in which an engine must not have new work, as it starts anew.
+func (watch *watch) returned(name string) {
+	watch.guard.Lock()
+	defer watch.guard.Unlock()
+	for _, each := range watch.spans {
+		if each.name == name && each.till.IsZero() {
+			each.till = time.Now()
+		}
+	}
+}
+
+// look asks each router, as the platform does, whether it is ready and what it works by.
+func (watch *watch) look(context context.Context) {
+	var group sync.WaitGroup
+	for number, address := range watch.routPub {
+		group.Go(func() {
+			for context.Err() == nil {
+				asked := time.Now()
+				var overview router.Overview
+				if watch.fetch(address, "/v1/status", &overview) {
+					watch.judge(fmt.Sprint("router-", number), asked, overview)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func (watch *watch) judge(name string, asked time.Time, overview router.Overview) {
+	watch.guard.Lock()
+	defer watch.guard.Unlock()
+	watch.looks++
+	found := overview.InForce
+	watch.digests[found.Document] = asked
+	watch.marks[found.Changes["mark"]] = asked
+	text := fmt.Sprint(found.Document, found.Changes, found.Evacuated)
+	if earlier, known := watch.inForce[found.Sequence]; known && earlier != text {
+		watch.violate("%s: sequence %d has two contents", name, found.Sequence)
+	}
+	watch.inForce[found.Sequence] = text
+	if !overview.Ready {
+		return
+	}
+	if found.Sequence < watch.seen[name] {
+		watch.violate("%s slipped from sequence %d back to %d", name, watch.seen[name], found.Sequence)
+	}
+	watch.seen[name] = max(watch.seen[name], found.Sequence)
+	for _, done := range watch.deeds {
+		if done.code == mishap.Fine && asked.Sub(done.ended) > 2*time.Second && found.Sequence < done.outcome.Sequence {
+			watch.violate("%s takes work by sequence %d, though %d was acknowledged %v before", name, found.Sequence, done.outcome.Sequence, asked.Sub(done.ended))
+		}
+	}
+}
+
+// verify holds what was acknowledged, declined and written down against each other.
+func (watch *watch) verify(figures *load.Figures) {
+	kinds := map[string][]string{}
+	for _, violation := range figures.Violations {
+		kind, key, _ := strings.Cut(violation, ": ")
+		kinds[kind] = append(kinds[kind], key)
+	}
+	for kind, keys := range kinds {
+		watch.violate("%d times: %s: %s", len(keys), kind, keys[0])
+	}
+	if figures.Missing > 0 || figures.Books == 0 {
+		watch.violate("%d engine books read, %d missing", figures.Books, figures.Missing)
+	}
+	if span := watch.recovered(); span > recovery {
+		watch.violate("a request %v after all machines returned was not whole", span)
+	}
+	if most := figures.Keys + figures.Keys/5 + 5; figures.Runs > most {
+		watch.violate("%d prompts read for %d requests", figures.Runs, figures.Keys)
+	}
+	watch.verifyDeeds()
+	watch.guard.Lock()
+	defer watch.guard.Unlock()
+	for name, observer := range watch.observers {
+		if count := observer.Chilled(); count > 12 {
+			watch.violate("%s turned away %d while it was cold", name, count)
+		}
+		for _, line := range observer.Lines() {
+			watch.verifyLine(name, line)
+		}
+	}
+}
+
+func (watch *watch) verifyLine(name string, line engine.Line) {
+	var number int
+	fmt.Sscanf(name, "engine-%d", &number)
+	at := time.UnixMicro(int64(line.At))
+	for _, each := range watch.spans {
+		if (each.name == name || each.name == watch.halls[number%3]) && at.After(each.from) && (each.till.IsZero() || at.Before(each.till)) {
+			watch.violate("%s began %s %v after the bound of leaving %s %s", name, line.Stage, at.Sub(each.from), each.what, each.name)
+		}
+	}
+}
+
+func (watch *watch) verifyDeeds() {
+	shown, known := watch.shown()
+	if !known {
+		watch.violate("the configuration can't be read at the end")
+		return
+	}
+	acked, unknown := 0, 0
+	held := map[uint64]string{}
+	for _, done := range watch.deeds {
+		var outcome configuration.Outcome
+		found := watch.fetch(watch.corePub[0], "/v1/operations/"+done.request.Key, &outcome) && outcome.Code == mishap.Fine
+		mark := done.request.Changes["mark"]
+		switch {
+		case done.code == mishap.Fine:
+			acked++
+			if !found || outcome.Sequence != done.outcome.Sequence || shown.Sequence < outcome.Sequence {
+				watch.violate("%s acknowledged as %d is not there: %+v, %d in force", done.request.Kind, done.outcome.Sequence, outcome, shown.Sequence)
+			}
+			if other, taken := held[done.outcome.Sequence]; taken {
+				watch.violate("sequence %d was acknowledged twice, %s and %s", done.outcome.Sequence, other, done.request.Key)
+			}
+			held[done.outcome.Sequence] = done.request.Key
+		case done.code == mishap.OutcomeUnknown:
+			unknown++
+		default:
+			if found {
+				watch.violate("%s told %d took effect as %d", done.request.Kind, done.code, outcome.Sequence)
+			}
+			if at, yes := watch.digests[done.digest]; yes && done.request.Document != "" {
+				watch.violate("a declined document was at a router at %v", at)
+			}
+			if at, yes := watch.marks[mark]; yes && mark != "" {
+				watch.violate("a declined change (mark %s) was at a router at %v", mark, at)
+			}
+		}
+	}
+	watch.note("%d operations, %d acknowledged, %d unknown, %d looks", len(watch.deeds), acked, unknown, watch.looks)
+	if acked == 0 {
+		watch.violate("nothing was ever acknowledged")
+	}
+}
--- a/internal/simulation/stage_test.go
+++ b/internal/simulation/stage_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,9 +28,12 @@
 type stage struct {
 	*testing.T
 	*simulation.Fabric
+	deployment
 	lives     map[string]*life
 	observers map[string]*engine.Observer
 	start     map[string]func() func(context.Context) error
+	engines   map[string]*engine.Engine
+	lock      sync.Mutex
 	folder    string
 	seeds     []string
 	corePub   []string
@@ -43,8 +47,24 @@
 	done chan struct{}
 }
 
+// deployment is what one of the users has, and what its callers send.
+type deployment struct {
+	document, service, tenant, long, short string
+	versions, halls                        []string
+	routers, makers                        int
+	longRate, shortRate                    float64
+}
+
 var halls = []string{"norte", "centro", "sur"}
 
+// small is a fleet for plays of one failure.
+func small() deployment {
+	return deployment{
+		document: "../../examples/asociacion.cue", service: "reservas", tenant: "asociacion", long: "waiver", short: "reply",
+		versions: []string{"r1", "r2"}, halls: halls, routers: 3, makers: 6, longRate: 20, shortRate: 24,
+	}
+}
+
 func TestMain(all *testing.M) {
 	log.DefaultLogger.Writer = &log.IOWriter{Writer: io.Discard}
 	os.Exit(all.Run())
@@ -54,15 +74,19 @@
 
 // playOver plays over links whose every write takes the latency.
 func playOver(test *testing.T, latency schedule.Microseconds, act func(*stage)) {
+	playFor(test, small(), latency, act)
+}
+
+func playFor(test *testing.T, deployment deployment, latency schedule.Microseconds, act func(*stage)) {
 	test.Parallel()
 	folder := test.TempDir()
 	synctest.Test(test, func(test *testing.T) {
 		stage := &stage{
-			T: test, Fabric: simulation.NewFabric(latency), lives: map[string]*life{}, folder: folder,
+			T: test, Fabric: simulation.NewFabric(latency), deployment: deployment, engines: map[string]*engine.Engine{}, lives: map[string]*life{}, folder: folder,
 			observers: map[string]*engine.Observer{}, handOver: 3000, keep: 5000, start: map[string]func() func(context.Context) error{},
 		}
 		defer stage.end()
-		stage.build(3, 3, 6)
+		stage.build(3, deployment.routers, deployment.makers)
 		for name := range stage.start {
 			stage.wake(name)
 		}
@@ -91,10 +115,10 @@
 		stage.corePub = append(stage.corePub, fmt.Sprintf("127.0.0.%d:2", number))
 	}
 	place := func(role string, number int, public string) setting.Place {
-		return setting.Place{Name: fmt.Sprintf("%s-%d", role, number), Hall: halls[number%3], Fleet: "stage", Public: public, Seeds: stage.seeds}
+		return setting.Place{Name: fmt.Sprintf("%s-%d", role, number), Hall: stage.halls[number%3], Fleet: "stage", Public: public, Seeds: stage.seeds}
 	}
 	for number := range cores {
-		stage.core(fmt.Sprint("core-", number), halls[number%3], stage.seeds[number], stage.corePub[number], "")
+		stage.core(fmt.Sprint("core-", number), stage.halls[number%3], stage.seeds[number], stage.corePub[number], "")
 	}
 	for number := range routers {
 		public := fmt.Sprintf("127.0.1.%d:2", number)
@@ -105,7 +129,7 @@
 		})
 	}
 	for number := range engines {
-		stage.engine(number, "r1")
+		stage.engine(number, stage.versions[0])
 	}
 }
 
@@ -147,7 +171,7 @@
 		stage.observers[name] = engine.NewObserver(3 * schedule.Second)
 	}
 	settings := engine.Settings{
-		Name: name, Hall: halls[number%3], Service: "reservas", Version: version, Address: fmt.Sprintf("127.0.2.%d:2", number),
+		Name: name, Hall: stage.halls[number%3], Service: stage.service, Version: version, Address: fmt.Sprintf("127.0.2.%d:2", number),
 		Cores: stage.corePub, Slots: 8, Read: 20, Write: 8000, HandOver: stage.handOver, Keep: stage.keep, Lease: 3000,
 	}
 	stage.start[name] = func() func(context.Context) error {
@@ -156,6 +180,9 @@
 		if failure != nil {
 			stage.Fatal(failure)
 		}
+		stage.lock.Lock()
+		stage.engines[name] = each
+		stage.lock.Unlock()
 		listener, failure := port.Listen(settings.Address)
 		if failure != nil {
 			stage.Fatal(failure)
@@ -215,7 +242,7 @@
 
 func (stage *stage) configure() {
 	apply := &operator.Apply{Change: stage.change()}
-	apply.Arguments.File = "../../examples/asociacion.cue"
+	apply.Arguments.File = stage.document
 	var failure error
 	for range 100 {
 		if failure = apply.Run(); failure == nil {
@@ -293,7 +320,7 @@
 }
 
 func (stage *stage) drive(seconds int) (*load.Figures, error) {
-	return stage.rates(seconds, 20, 24)
+	return stage.rates(seconds, stage.longRate, stage.shortRate)
 }
 
 // crowd is a load of its own rates.
@@ -307,7 +334,7 @@
 
 func (stage *stage) rates(seconds int, long, short float64) (*load.Figures, error) {
 	run, failure := load.New(load.Settings{
-		Cores: stage.corePub, Routers: stage.routPub, Tenant: "asociacion", Long: "waiver", Short: "reply",
+		Cores: stage.corePub, Routers: stage.routPub, Tenant: stage.tenant, Long: stage.long, Short: stage.short,
 		LongRate: long, ShortRate: short, Seconds: seconds, Seed: 1,
 	}, simulation.Port{Fabric: stage.Fabric, Machine: "caller"})
 	if failure != nil {
