Claim one-shot keys at a majority of the cores, so that two routers run a key once

Cause: keys were known to one router only; a second answer to a key in use said 'not run' though the first ran. Keys forgotten by a herd of cores come back from a diary.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"coursepass/internal/catalogue"
 	"coursepass/internal/circuit"
+	"coursepass/internal/claim"
 	"coursepass/internal/configuration"
 	"coursepass/internal/election"
 	"coursepass/internal/grant"
@@ -65,6 +66,7 @@
 	meter       *hall.Meter
 	inner       *circuit.Inner
 	journal     *journal.Journal
+	diary       *claim.Diary
 	gossip      *sibling.Gossip
 	senders     map[string]*sender
 	lock        sync.Mutex
@@ -91,6 +93,10 @@
 	if failure != nil {
 		return nil, failure
 	}
+	diary, failure := claim.OpenDiary(settings.Data)
+	if failure != nil {
+		return nil, failure
+	}
 	if device, simulated := network.(journal.Device); simulated {
 		disk.Device = device
 	}
@@ -102,7 +108,7 @@
 		},
 		clock:   schedule.NewClock(),
 		meter:   hall.NewMeter(settings.Place.Hall),
-		journal: disk, senders: map[string]*sender{}, configuring: make(chan struct{}, 1),
+		journal: disk, diary: diary, senders: map[string]*sender{}, configuring: make(chan struct{}, 1),
 	}
 	core.inner = circuit.NewInner(settings.Fleet, core.meter, network)
 	view := sibling.NewView(core.Machine, 8, 4, incarnation)
@@ -190,6 +196,7 @@
 		})
 	}
 	core.running = running
+	defer core.diary.Close()
 	fresh := len(core.journal.Image().Name) == 0
 	core.journal.Write([]journal.Record{{Kind: journal.Identity, Entry: journal.Entry{Data: []byte(core.seat.Identity)}}}, func() {})
 	launch(func() error { return core.journal.Run(running) })
@@ -197,6 +204,7 @@
 		launch(func() error { each.run(running); return nil })
 	}
 	launch(func() error { core.seek(running); return nil })
+	launch(func() error { core.rebuild(running); return nil })
 	launch(func() error { return circuit.Serve(running, listeners.Inner, core.inner, schedule.Second) })
 	launch(func() error { return circuit.Serve(running, listeners.Public, core.public(), schedule.Second) })
 	launch(func() error { core.gossip.Run(running); return nil })
@@ -235,4 +243,5 @@
 	core.serveRouters()
 	core.serveErrands()
 	core.serveJoins()
+	core.serveClaims()
 }
--- a/internal/core/heads.go
+++ b/internal/core/heads.go
@@ -32,6 +32,10 @@
 	Epoch      uint64
 	Current    bool
 	Recovering bool
+	// Claims is the life of the seat's registry of claims; Forgetful says that it may
+	// not grant yet, so that routers tell it the claims that they hold.
+	Claims    uint64
+	Forgetful bool
 }
 
 // HeadsAnswer is one core's heads.
@@ -83,6 +87,9 @@
 				found.Current, found.Recovering = status.Current, status.Recovering
 				found.Index, found.Sequence = status.Commit, status.Sequence
 			}
+			if claims := shard.claims.Load(); claims != nil {
+				found.Claims, found.Forgetful = claims.life, !claims.whole(core.clock.Now())
+			}
 			answer.Parts = append(answer.Parts, found)
 		}
 		if question.Soft {
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -69,6 +69,12 @@
 		"journal-rewrites": core.journal.Rewrites.Load(), "journal-cut": core.journal.Cut.Load(), "journal-waiting": int64(core.journal.Waiting()),
 		"news-taken": core.gossip.Taken.Load(), "news-known": core.gossip.Known.Load(), "news-passed": core.gossip.Passed.Load(), "news-mended": core.gossip.Mended.Load(),
 	}
+	counters["diary-mishaps"] = core.DiaryMishaps.Load()
+	for _, shard := range core.shards[1:] {
+		if claims := shard.claims.Load(); claims != nil {
+			counters["claims"] += int64(claims.Count())
+		}
+	}
 	for _, duty := range core.duties {
 		counters["orders-sent"] += duty.desk.Sent.Load()
 		counters["orders-acked"] += duty.desk.Acked.Load()
--- a/internal/core/sender.go
+++ b/internal/core/sender.go
@@ -31,6 +31,8 @@
 	Dropped atomic.Int64
 	Late    atomic.Int64
 	Taken   atomic.Int64
+	// DiaryMishaps counts claims that could not be written down besides.
+	DiaryMishaps atomic.Int64
 }
 
 // sender carries the messages of all parts to one other core. Election messages
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -55,6 +55,7 @@
 	status  atomic.Pointer[Status]
 	seats   atomic.Pointer[part.Bindings]
 	right   atomic.Pointer[order.Right]
+	claims  atomic.Pointer[claims]
 	head    atomic.Pointer[news.Head]
 }
 
@@ -87,6 +88,9 @@
 	}
 	shard.state.Restore(shard.blank)
 	shard.begun++
+	remembered := newClaims(shard.core.Incarnation+shard.begun, shard.Clock.Now(), len(shard.core.Seeds), slot)
+	shard.core.diary.Recall(shard.Clock.Now(), shard.index, remembered.Registry)
+	shard.claims.Store(remembered)
 	place := shard.core.place(shard.index, slot, bindings)
 	place.Life += shard.begun
 	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), false)
@@ -113,6 +117,7 @@
 	log.Warn().Str("core", shard.core.Machine.Name).Int("part", shard.index).Uint64("epoch", bindings.Epoch).Msg("this core has no seat any more")
 	shard.settle(part.Output{Lost: true})
 	shard.member = nil
+	shard.claims.Store(nil)
 	shard.seats.Store(&bindings)
 	shard.right.Store(nil)
 	shard.status.Store(&Status{Part: shard.index, Slot: -1, Leader: -1})
--- a/internal/mishap/code.go
+++ b/internal/mishap/code.go
@@ -27,6 +27,8 @@
 	BudgetSpent   Code = 2003
 	RouterLeaving Code = 2004
 	RepeatsSpent  Code = 2005
+	KeysFull      Code = 2006
+	ClaimUnheard  Code = 2007
 
 	EndingUnknown Code = 3000
 	StreamCut     Code = 3001
@@ -80,7 +82,7 @@
 	{UnknownTenant, "unknown-tenant", 404, "no such tenant in the configuration in force"},
 	{UnknownKind, "unknown-kind", 404, "the tenant has no template of this kind of request"},
 	{BadBudget, "bad-budget", 400, "the budget asked for is negative or above the template's"},
-	{KeyReused, "key-reused", 409, "a request with this key is running or has ended here"},
+	{KeyReused, "key-reused", 409, "a request with this key is running or has ended; its ending is told as far as known"},
 	{KeyMissing, "key-missing", 400, "a request carries a key of 1 to 128 characters"},
 	{WrongMethod, "wrong-method", 405, "the method does not fit the path"},
 	{UnknownPrefix, "unknown-prefix", 404, "the catalogue has no such shared prefix"},
@@ -90,6 +92,8 @@
 	{BudgetSpent, "budget-spent", 503, "the budget to start was spent before an engine took it; not run"},
 	{RouterLeaving, "router-leaving", 503, "this router is stopping; not run"},
 	{RepeatsSpent, "repeats-spent", 503, "a repeat was due, but the share of repeats is spent"},
+	{KeysFull, "keys-full", 503, "too many keys are remembered to take a new one; not run"},
+	{ClaimUnheard, "claim-unheard", 503, "no majority of cores could keep the key to this request; not run"},
 	{EndingUnknown, "ending-unknown", 502, "the request may have run; do not take it as not run"},
 	{StreamCut, "stream-cut", 502, "the answer broke off; the circuit is closed without a final frame"},
 	{Abandoned, "abandoned", 504, "the answer was not whole within its budget; it ran in part"},
--- a/internal/relay/keys.go
+++ b/internal/relay/keys.go
@@ -10,68 +10,122 @@
 )
 
 const (
-	shards  = 16
+	// Shards is how many shares the keys have, each under its own lock.
+	Shards  = 16
 	keepFor = 10 * 60 * schedule.Second
 	most    = 1 << 16
 )
 
-type claim struct {
-	key string
-	at  schedule.Microseconds
+// Key is what a router remembers of one caller's key.
+type Key struct {
+	Name   string
+	Number uint64
+	At     schedule.Microseconds
+	// Ending is what became of its request, empty while it is under way.
+	Ending Ending
+	// Claimed says that this router has asked the cores to keep it.
+	Claimed bool
 }
 
 type keyShard struct {
 	lock  sync.Mutex
-	keys  map[string]schedule.Microseconds
-	order deque.Deque[claim]
+	keys  map[string]*Key
+	order deque.Deque[*Key]
+	last  uint64
 }
 
 // Keys remembers callers' keys, in use or ended, for a bounded time and number.
 type Keys struct {
 	seed   maphash.Seed
-	shards [shards]keyShard
+	shards [Shards]keyShard
+	most   int
 }
 
 // NewKeys remembers nothing yet.
 func NewKeys() *Keys {
-	keys := &Keys{seed: maphash.MakeSeed()}
+	keys := &Keys{seed: maphash.MakeSeed(), most: most}
 	for index := range keys.shards {
-		keys.shards[index].keys = map[string]schedule.Microseconds{}
+		keys.shards[index].keys = map[string]*Key{}
 	}
 	return keys
 }
 
-func (keys *Keys) shard(key string) *keyShard {
-	return &keys.shards[maphash.String(keys.seed, key)%shards]
-}
+func (keys *Keys) place(name string) uint64 { return maphash.String(keys.seed, name) % Shards }
 
-// Claim takes a key, or says that it is taken.
-func (keys *Keys) Claim(now schedule.Microseconds, key string) bool {
-	shard := keys.shard(key)
+// Claim takes a key. If it is taken, what is known of it is answered; a full table
+// answers neither, and forgets nothing early.
+func (keys *Keys) Claim(now schedule.Microseconds, name string) (number uint64, earlier Key, taken, full bool) {
+	place := keys.place(name)
+	shard := &keys.shards[place]
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
-	for shard.order.Len() > 0 {
-		oldest := shard.order.Front()
-		if now-oldest.at < keepFor && shard.order.Len() < most {
-			break
-		}
-		shard.order.PopFront()
-		if at, taken := shard.keys[oldest.key]; taken && at == oldest.at {
-			delete(shard.keys, oldest.key)
+	for shard.order.Len() > 0 && now-shard.order.Front().At >= keepFor {
+		oldest := shard.order.PopFront()
+		if shard.keys[oldest.Name] == oldest {
+			delete(shard.keys, oldest.Name)
 		}
 	}
-	if _, taken := shard.keys[key]; taken {
-		return false
+	if found, known := shard.keys[name]; known {
+		return 0, *found, true, false
+	}
+	if len(shard.keys) >= keys.most {
+		return 0, Key{}, false, true
 	}
-	shard.keys[key] = now
-	shard.order.PushBack(claim{key, now})
-	return true
+	shard.last++
+	made := &Key{Name: name, Number: shard.last*Shards + place, At: now}
+	shard.keys[name] = made
+	shard.order.PushBack(made)
+	return made.Number, Key{}, false, false
 }
 
-// Free gives a key back whose request is proved not to have run.
-func (keys *Keys) Free(key string) {
-	shard := keys.shard(key)
+// change applies to the key that this very request has claimed, if it still has it.
+func (keys *Keys) change(name string, number uint64, apply func(*keyShard, *Key)) {
+	shard := &keys.shards[keys.place(name)]
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
-	delete(shard.keys, key)
+	if found, known := shard.keys[name]; known && found.Number == number {
+		apply(shard, found)
+	}
+}
+
+// Keep notes that the cores are asked to keep the key to this router.
+func (keys *Keys) Keep(name string, number uint64) {
+	keys.change(name, number, func(_ *keyShard, key *Key) { key.Claimed = true })
+}
+
+// End notes what became of a request. A key whose request is proved not to have run
+// may be used again.
+func (keys *Keys) End(name string, number uint64, ending Ending) {
+	keys.change(name, number, func(shard *keyShard, key *Key) {
+		if key.Ending = ending; ending == NotRun {
+			delete(shard.keys, name)
+		}
+	})
+}
+
+// Told is what is known of a key.
+func (keys *Keys) Told(name string) (Key, bool) {
+	shard := &keys.shards[keys.place(name)]
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	if found, known := shard.keys[name]; known {
+		return *found, true
+	}
+	return Key{}, false
+}
+
+// Claimed is every key that the cores are asked to keep to this router.
+func (keys *Keys) Claimed() []Key {
+	var found []Key
+	for index := range keys.shards {
+		shard := &keys.shards[index]
+		shard.lock.Lock()
+		for _, key := range shard.keys {
+			if key.Claimed {
+				found = append(found, *key)
+			}
+		}
+		shard.lock.Unlock()
+	}
+	return found
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -81,12 +81,18 @@
 func TestKeysAreClaimedOnce(test *testing.T) {
 	Convey("a key is claimed once until it is given back or has lapsed", test, func() {
 		keys := relay.NewKeys()
-		So(keys.Claim(0, "a"), ShouldBeTrue)
-		So(keys.Claim(1, "a"), ShouldBeFalse)
-		keys.Free("a")
-		So(keys.Claim(2, "a"), ShouldBeTrue)
-		So(keys.Claim(500*schedule.Second, "a"), ShouldBeFalse)
-		So(keys.Claim(700*schedule.Second, "a"), ShouldBeTrue)
-		So(keys.Claim(701*schedule.Second, "a"), ShouldBeFalse)
+		taken := func(now schedule.Microseconds) bool {
+			_, _, taken, _ := keys.Claim(now, "a")
+			return taken
+		}
+		number, _, _, _ := keys.Claim(0, "a")
+		So(taken(1), ShouldBeTrue)
+		keys.End("a", number+relay.Shards, relay.NotRun)
+		So(taken(1), ShouldBeTrue)
+		keys.End("a", number, relay.NotRun)
+		So(taken(2), ShouldBeFalse)
+		So(taken(500*schedule.Second), ShouldBeTrue)
+		So(taken(700*schedule.Second), ShouldBeFalse)
+		So(taken(701*schedule.Second), ShouldBeTrue)
 	})
 }
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -48,6 +48,9 @@
 	abandon  schedule.Microseconds
 	run      string
 	claimed  bool
+	number   uint64
+	pledge   *pledge
+	earlier  relay.Ending
 	avoid    map[string]bool
 	writer   http.ResponseWriter
 	stream   *json.Encoder
@@ -115,10 +118,9 @@
 	if queue.Load() >= int64(passing.service.Queue) {
 		return nil, mishap.New(mishap.QueueFull, "%d requests of service %s", queue.Load(), template.Service)
 	}
-	if !router.keys.Claim(now, passing.claim()) {
-		return nil, mishap.New(mishap.KeyReused, "%s", passing.Key)
+	if failure := router.claim(now, passing); failure != nil {
+		return nil, failure
 	}
-	passing.claimed = true
 	percent, allowance := view.Plan.Tenants[passing.Tenant].Share()
 	repeats.Enrol(percent, float64(allowance)/float64(router.routers()))
 	return queue, passing.Move(relay.Enrolled)
@@ -143,8 +145,9 @@
 		passing.State = relay.Declined
 	}
 	ending := passing.Ending()
-	if ending == relay.NotRun && passing.claimed {
-		router.keys.Free(passing.claim())
+	router.settle(passing, ending)
+	if passing.earlier != "" {
+		ending = passing.earlier
 	}
 	retry := 0
 	if code := mishap.CodeOf(failure, mishap.EndingUnknown); code >= mishap.NoEngine && code < mishap.EndingUnknown {
@@ -166,9 +169,11 @@
 func (router *Router) end(passing *passage, failure error) {
 	switch {
 	case failure == nil:
+		router.settle(passing, relay.Run)
 		router.Finished.Add(1)
 	case passing.frames > 0:
 		_ = passing.Move(relay.Cut)
+		router.settle(passing, relay.Run)
 		router.Cut.Add(1)
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -136,6 +136,7 @@
 			answer, _ := circuit.Call[core.HeadsQuestion, core.HeadsAnswer](parent, router.inner, seed, core.HeadsPath, readBudget, question)
 			if answer != nil {
 				router.mend(parent, seed, answer)
+				router.recall(parent, seed, answer)
 				router.hear(answer.Soft)
 			}
 			answers <- answer
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -47,6 +47,11 @@
 		if failure != nil {
 			return failure
 		}
+		if failure := router.awaitPledge(bounded, passing); failure != nil {
+			reader.Done(catalogue.Experience{Now: router.clock.Now()})
+			writer.Done(catalogue.Experience{Now: router.clock.Now()})
+			return failure
+		}
 		ticket, failure := router.prefill(bounded, passing, reader)
 		if failure == nil {
 			failure = router.decode(bounded, passing, reader, writer, ticket)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,8 @@
 	ReadsShort atomic.Int64
 	Stale      atomic.Int64
 	Stalls     atomic.Int64
+	// ClaimsUnheard counts one-shot requests whose key no majority of cores could keep.
+	ClaimsUnheard atomic.Int64
 }
 
 // Router is one data-plane daemon.
@@ -68,21 +71,24 @@
 	Settings
 	Counters
 	machine.Machine
-	clock   *schedule.Clock
-	meter   *hall.Meter
-	inner   *circuit.Inner
-	gossip  *sibling.Gossip
-	gate    *Gate
-	client  *http.Client
-	keys    *relay.Keys
-	view    atomic.Pointer[configuration.View]
-	seats   []atomic.Pointer[part.Bindings]
-	lock    sync.Mutex
-	tables  map[string]*catalogue.Table
-	repeats map[string]*relay.Repeats
-	queues  map[string]*atomic.Int64
-	stopped atomic.Bool
-	running sync.WaitGroup
+	clock  *schedule.Clock
+	meter  *hall.Meter
+	inner  *circuit.Inner
+	gossip *sibling.Gossip
+	gate   *Gate
+	client *http.Client
+	keys   *relay.Keys
+	clerks clerks
+	// claimant names this life of the router in its claims, unlike any other.
+	claimant uint64
+	view     atomic.Pointer[configuration.View]
+	seats    []atomic.Pointer[part.Bindings]
+	lock     sync.Mutex
+	tables   map[string]*catalogue.Table
+	repeats  map[string]*relay.Repeats
+	queues   map[string]*atomic.Int64
+	stopped  atomic.Bool
+	running  sync.WaitGroup
 }
 
 // New makes a router from checked settings.
@@ -97,6 +103,7 @@
 			Inner: settings.Inner.Inner, Public: settings.Place.Public, Incarnation: incarnation,
 		},
 		clock: schedule.NewClock(), meter: hall.NewMeter(settings.Place.Hall), keys: relay.NewKeys(),
+		claimant: rand.Uint64(), clerks: clerks{desks: map[desk]*clerk{}, told: map[desk]uint64{}},
 		tables: map[string]*catalogue.Table{}, repeats: map[string]*relay.Repeats{}, queues: map[string]*atomic.Int64{}, seats: make([]atomic.Pointer[part.Bindings], settings.Parts),
 	}
 	router.inner = circuit.NewInner(settings.Fleet, router.meter, network)
@@ -104,6 +111,7 @@
 	view := sibling.NewView(router.Machine, 8, 4, incarnation)
 	store := news.NewStore(router.install)
 	router.gossip = sibling.NewGossip(view, store, router.inner, settings.Seeds)
+	router.serveKeys()
 	router.gate = NewGate(schedule.Microseconds(settings.Fresh)*schedule.Millisecond, settings.Parts, len(settings.Seeds))
 	return router, nil
 }
@@ -183,6 +191,7 @@
 	go func() { ended <- circuit.Serve(serving, listeners.Inner, router.inner, schedule.Second) }()
 	go func() { ended <- circuit.Serve(serving, listeners.Public, router.public(), schedule.Second) }()
 	go router.gossip.Run(serving)
+	router.clerks.begin(serving)
 	go router.watch(serving)
 	log.Info().Str("router", router.Machine.Name).Msg("router runs")
 	select {
--- a/internal/simulation/soak_fleet_test.go
+++ b/internal/simulation/soak_fleet_test.go
@@ -20,7 +20,7 @@
 var (
 	firstSeed = flag.Uint64("first", 0, "first seed of the whole-fleet soak")
 	soakSeeds = flag.Uint64("seeds", 2, "number of seeds of the whole-fleet soak, for each deployment")
-	doubled   = flag.Int("doubled", 0, "of a hundred one-shot requests, how many are sent to two routers at once")
+	doubled   = flag.Int("doubled", 10, "of a hundred one-shot requests, how many are sent to two routers at once")
 	onlyFault = flag.String("only", "", "cause only this failure")
 )
 
--- a/internal/simulation/stage_ends_test.go
+++ b/internal/simulation/stage_ends_test.go
@@ -88,10 +88,12 @@
 }
 
 // tell sends a request and says how it ended.
-func (stage *stage) tell(body string) string {
+func (stage *stage) tell(body string) string { return stage.tellAt(stage.routPub[0], body) }
+
+func (stage *stage) tellAt(router, body string) string {
 	transport := circuit.NewTransport(circuit.Options{Network: simulation.Port{Fabric: stage.Fabric, Machine: "caller"}, Meter: hall.NewMeter("")})
 	transport.DisableKeepAlives = true
-	answer, failure := (&http.Client{Transport: transport}).Post("http://"+stage.routPub[0]+"/v1/answer", "application/json", strings.NewReader(body))
+	answer, failure := (&http.Client{Transport: transport}).Post("http://"+router+"/v1/answer", "application/json", strings.NewReader(body))
 	if failure != nil {
 		return failure.Error()
 	}
