Let an evacuation apply to whatever is in force, so that no change can beat it

Cause: an evacuation built on a sequence lost its race to a storm of small changes and waited behind their expansion. Ruled out: retrying at the client, which a storm can starve. All 24 orders of two small changes, an evacuation and a bad document, each sent again once: one winner, the evacuation always in force. Before: with the check back in place the test fails at its first order.

--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -157,3 +157,55 @@
 		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.UnknownHall)
 	})
 }
+
+// Two small changes, an evacuation and a document that is declined, all drafted on the
+// sequence in force, are committed in every order; a change of leader between any two has
+// the second of them sent again under its key. Exactly the first that builds on the
+// sequence takes effect, the evacuation always does, and the declined never.
+func TestEvacuationNeverLosesItsRace(test *testing.T) {
+	Convey("in every order, sent again or not", test, func() {
+		document := example("asociacion")
+		plan, failure := configuration.Expand(document, nil)
+		So(failure, ShouldBeNil)
+		requests := []configuration.Request{
+			{Kind: configuration.Small, Expected: 1, Changes: map[string]string{"startMilliseconds": "410"}},
+			{Kind: configuration.Small, Expected: 1, Changes: map[string]string{"startMilliseconds": "420"}},
+			{Kind: configuration.Evacuate, Whichever: true, Hall: "sur"},
+			{Kind: configuration.Whole, Expected: 1, Document: "halls: ["},
+		}
+		simulation.Orders(len(requests), func(order []int) {
+			for again := range len(requests) {
+				state := configuration.NewState()
+				state.Apply(configuration.Encode(configuration.Operation{Request: configuration.Request{Kind: configuration.Whole, Key: "first", Document: document}, Plan: plan}))
+				view := state.View()
+				winners, effects := 0, 0
+				for _, place := range order {
+					request := requests[place]
+					request.Key = fmt.Sprint(place)
+					drafted, failure := view.Draft(request)
+					if failure != nil {
+						So(place, ShouldEqual, 3)
+						continue
+					}
+					before := state.Number()
+					state.Apply(configuration.Encode(drafted))
+					if place == again {
+						state.Apply(configuration.Encode(drafted))
+					}
+					outcome, known := state.Outcome(request.Key)
+					So(known, ShouldBeTrue)
+					if effects += int(state.Number() - before); outcome.Code == mishap.Fine {
+						winners++
+					}
+					if place == 2 && outcome.Code != mishap.Fine {
+						test.Fatalf("order %v: the evacuation got %d", order, outcome.Code)
+					}
+				}
+				in := state.View()
+				if first := order[0]; winners != effects || !in.Gone("sur") || first == 2 && in.Changes != nil {
+					test.Fatalf("order %v: %d told as in force, %d in force, evacuated %v", order, winners, effects, in.Evacuated)
+				}
+			}
+		})
+	})
+}
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -24,12 +24,20 @@
 // Request is what an operator sends. Expected is the sequence it builds on; the
 // key lets the operator ask later what became of it.
 type Request struct {
-	Kind     Kind              `json:"kind"`
-	Key      string            `json:"key"`
-	Expected uint64            `json:"expected"`
-	Document string            `json:"document,omitempty"`
-	Changes  map[string]string `json:"changes,omitempty"`
-	Hall     string            `json:"hall,omitempty"`
+	Kind     Kind   `json:"kind"`
+	Key      string `json:"key"`
+	Expected uint64 `json:"expected"`
+	// Whichever has an evacuation or a return apply to what is in force when it is
+	// committed, so that no other change can beat it.
+	Whichever bool              `json:"whichever,omitempty"`
+	Document  string            `json:"document,omitempty"`
+	Changes   map[string]string `json:"changes,omitempty"`
+	Hall      string            `json:"hall,omitempty"`
+}
+
+// commutes tells whether an operation means the same after any other change.
+func (request Request) commutes() bool {
+	return request.Whichever && (request.Kind == Evacuate || request.Kind == Return)
 }
 
 // Outcome is what became of an operation.
@@ -61,7 +69,7 @@
 // is proposed.
 func (view *View) Draft(request Request) (Operation, error) {
 	operation := Operation{Request: request}
-	if request.Expected != view.Sequence {
+	if !request.commutes() && request.Expected != view.Sequence {
 		return operation, stale(request.Expected, view.Sequence)
 	}
 	var failure error
@@ -144,7 +152,10 @@
 }
 
 func (state *State) enact(operation Operation) Outcome {
-	if operation.Expected != state.Sequence {
+	if operation.commutes() && !state.Plan.HasHall(operation.Hall) {
+		return Outcome{Code: mishap.UnknownHall, Sequence: state.Sequence, Text: operation.Hall}
+	}
+	if !operation.commutes() && operation.Expected != state.Sequence {
 		failure := stale(operation.Expected, state.Sequence)
 		return Outcome{Code: mishap.SequenceStale, Sequence: state.Sequence, Text: mishap.Text(failure)}
 	}
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -110,13 +110,16 @@
 }
 
 func (core *Core) configure(context context.Context, shard *shard, request configuration.Request) (configuration.Outcome, error) {
-	// One request at a time: whoever comes second then sees the first one's sequence,
+	// One request at a time, but for those that need no expansion and can't lose a race:
+	// whoever comes second then sees the first one's sequence,
 	// and is declined without a costly expansion.
-	select {
-	case core.configuring <- struct{}{}:
-		defer func() { <-core.configuring }()
-	case <-context.Done():
-		return configuration.Outcome{}, mishap.New(mishap.NoMajority, "another operation is under way; nothing was changed")
+	if !request.Whichever {
+		select {
+		case core.configuring <- struct{}{}:
+			defer func() { <-core.configuring }()
+		case <-context.Done():
+			return configuration.Outcome{}, mishap.New(mishap.NoMajority, "another operation is under way; nothing was changed")
+		}
 	}
 	var view configuration.View
 	var earlier configuration.Outcome
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -120,7 +120,7 @@
 		request.Key = rand.Text()
 	}
 	request.Expected = uint64(change.Expect)
-	if change.Expect < 0 {
+	if change.Expect < 0 && !request.Whichever {
 		var shown core.Shown
 		if failure := change.Get("/v1/configuration", &shown); failure != nil {
 			return failure
@@ -208,7 +208,7 @@
 	if evacuate.Back {
 		kind = configuration.Return
 	}
-	return evacuate.operate(configuration.Request{Kind: kind, Hall: evacuate.Arguments.Hall})
+	return evacuate.operate(configuration.Request{Kind: kind, Hall: evacuate.Arguments.Hall, Whichever: evacuate.Expect < 0})
 }
 
 // List lists a service's engines.
--- a/internal/simulation/soak_watch_test.go
+++ b/internal/simulation/soak_watch_test.go
@@ -147,26 +147,25 @@
 func (watch *watch) operateHalls(context context.Context) {
 	for turn := 0; context.Err() == nil; turn++ {
 		name := watch.halls[turn%3]
-		if shown, known := watch.shown(); known {
-			done := watch.operate(configuration.Request{Kind: configuration.Evacuate, Expected: shown.Sequence, Hall: name})
-			if done.code == mishap.Fine {
-				empty := &span{what: "hall", name: name, from: done.ended.Add(5 * time.Second)}
-				watch.guard.Lock()
-				watch.spans = append(watch.spans, empty)
-				watch.guard.Unlock()
-				time.Sleep(7 * time.Second)
-				watch.guard.Lock()
-				empty.till = time.Now()
-				watch.guard.Unlock()
-			}
-			for range 40 {
-				if shown, known = watch.shown(); known {
-					if done := watch.operate(configuration.Request{Kind: configuration.Return, Expected: shown.Sequence, Hall: name}); done.code == mishap.Fine {
-						break
-					}
-				}
-				time.Sleep(200 * time.Millisecond)
+		done := watch.operate(configuration.Request{Kind: configuration.Evacuate, Whichever: true, Hall: name})
+		if done.code == mishap.SequenceStale {
+			watch.violate("an evacuation lost a race")
+		}
+		if done.code == mishap.Fine {
+			empty := &span{what: "hall", name: name, from: done.ended.Add(5 * time.Second)}
+			watch.guard.Lock()
+			watch.spans = append(watch.spans, empty)
+			watch.guard.Unlock()
+			time.Sleep(7 * time.Second)
+			watch.guard.Lock()
+			empty.till = time.Now()
+			watch.guard.Unlock()
+		}
+		for range 40 {
+			if watch.operate(configuration.Request{Kind: configuration.Return, Whichever: true, Hall: name}).code == mishap.Fine {
+				break
 			}
+			time.Sleep(200 * time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
 	}
