Send what answers a message for as long as the core runs, not as long as the call

Cause: PONG, START and other answers were sent under the context of the call that had brought the question, and were dropped when that call returned first. Seen as a core that asked all and heard nobody, and went through its own rounds alone (24, 27, 30, …) while it kept the others leaderless. Ruled out: blocked loops, late messages (counter 0), the simulated network (calls ended 'canceled', not late).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,10 +145,12 @@
 	}
 }
 
-func (core *Core) post(context context.Context, message part.Message) {
+// post sends a message for as long as this core runs: what it answers must not end with
+// the call that brought the question.
+func (core *Core) post(message part.Message) {
 	seat := core.shards[message.Part].seats.Load().Seats[message.To]
 	if !seat.Vacant() && seat.Address != core.seat.Address {
-		core.sender(seat.Address).send(context, message)
+		core.sender(seat.Address).send(core.running, message)
 	}
 }
 
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -136,17 +136,17 @@
 func (shard *shard) carry(context context.Context, output part.Output) {
 	shard.show(context, output.Applied)
 	for _, message := range output.Urgent {
-		shard.core.post(context, message)
+		shard.core.post(message)
 	}
 	if len(output.Records)+len(output.Held) > 0 {
 		slot := shard.member.Self
 		shard.core.journal.Write(output.Records, func() {
 			for _, message := range output.Held {
 				if message.To == slot {
-					go shard.receive(context, message)
+					go shard.receive(shard.core.running, message)
 					continue
 				}
-				shard.core.post(context, message)
+				shard.core.post(message)
 			}
 		})
 	}
