Have a core whose disk stalls give way as a candidate

Cause: a candidate elected with a stalled disk can't sync its own promise, so its round never begins, while its OKs keep it in place. After 5δ without a finished sync a core sends no OK and no PONG. The pure soak stalls disks too.

--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -21,6 +21,9 @@
 	Number() uint64
 }
 
+// A sync that takes longer than so many δ has its core give way as a candidate.
+const stallDeltas = 5
+
 type spot struct{ index, round uint64 }
 
 // Status is what a core says of one part.
@@ -67,6 +70,7 @@
 		return shard.next(context)
 	}, func() schedule.Microseconds {
 		if shard.member != nil {
+			shard.member.Hold(schedule.Of(shard.core.journal.Stalled()) > stallDeltas*shard.core.DeltaSpan())
 			shard.carry(context, shard.member.Wake(shard.Clock.Now()))
 		}
 		return shard.next(context)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -51,6 +51,7 @@
 	leader    int
 	bar       uint64
 	barred    bool
+	held      bool
 	okays     int
 	alerts    []alert
 	restarted schedule.Microseconds
@@ -93,8 +94,13 @@
 // Lift takes the bar away again.
 func (machine *Machine) Lift() { machine.barred = false }
 
+// Hold keeps this machine from being a candidate for as long as its own disk does not
+// finish what it was given: it sends no OK and no PONG, and at once starts the round of
+// another. This is an exception to the paper.
+func (machine *Machine) Hold(held bool) { machine.held = held }
+
 func (machine *Machine) mayLead(round uint64) bool {
-	return machine.Candidate(round) == machine.Self && !(machine.barred && round <= machine.bar)
+	return machine.Candidate(round) == machine.Self && !machine.held && !(machine.barred && round <= machine.bar)
 }
 
 func (machine *Machine) take() []Send {
@@ -197,6 +203,9 @@
 	case ALERT:
 		machine.hearAlert(message.Round, now)
 	case PING:
+		if machine.held {
+			break
+		}
 		machine.sends = append(machine.sends, Send{from, Message{PONG, message.Round}})
 	case PONG:
 		if machine.asking && message.Round == machine.round {
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -175,6 +175,9 @@
 	return member.take()
 }
 
+// Hold tells the member whether its own disk has stalled.
+func (member *Member) Hold(stalled bool) { member.election.Hold(stalled) }
+
 // Next is when the member wants to be woken.
 func (member *Member) Next() schedule.Microseconds {
 	return member.election.Next()
--- a/internal/simulation/cores.go
+++ b/internal/simulation/cores.go
@@ -56,6 +56,8 @@
 	pending     []write
 	syncing     bool
 	syncSpan    schedule.Microseconds
+	syncBegan   schedule.Microseconds
+	stallEnds   schedule.Microseconds
 	gauges      map[int]*link.Gauge
 	waiting     map[[2]uint64]uint64
 	wakeAt      schedule.Microseconds
@@ -171,6 +173,7 @@
 	core.group.After(span, func() {
 		core.step(life, func() {
 			core.wakePlanned = false
+			core.member.Hold(core.syncing && core.group.Now()-core.syncBegan > 5*Delta)
 			core.carry(core.member.Wake(core.Clock()))
 			core.plan()
 		})
@@ -206,7 +209,8 @@
 	}
 	life, batch := core.life, core.pending
 	core.syncing, core.pending = true, nil
-	core.group.After(core.group.Between(core.syncSpan/4, core.syncSpan), func() {
+	core.syncBegan = core.group.Now()
+	core.group.After(max(core.group.Between(core.syncSpan/4, core.syncSpan), core.stallEnds-core.group.Now()), func() {
 		if !core.alive || core.life != life {
 			return
 		}
--- a/internal/simulation/soak.go
+++ b/internal/simulation/soak.go
@@ -82,6 +82,7 @@
 	soak.Heal()
 	for _, each := range soak.Cores {
 		each.frozen, each.syncSpan = 0, 2*schedule.Millisecond
+		each.stallEnds = 0
 		if !each.alive {
 			each.Start(false)
 		}
@@ -103,7 +104,7 @@
 func (soak *Soak) fail() {
 	slot := soak.Chance.IntN(3)
 	each := soak.Cores[slot]
-	switch choice := soak.Chance.IntN(12); choice {
+	switch choice := soak.Chance.IntN(13); choice {
 	case 0, 1:
 		soak.Note("kill core %d", slot)
 		each.Kill()
@@ -132,6 +133,10 @@
 	case 8:
 		soak.Note("slow disk of core %d", slot)
 		each.syncSpan = soak.Between(50*schedule.Millisecond, 2*schedule.Second)
+	case 10:
+		span := soak.Between(100*schedule.Millisecond, 9*schedule.Second)
+		soak.Note("stall disk of core %d for %d ms", slot, span/schedule.Millisecond)
+		each.stallEnds = soak.Now() + span
 	case 9:
 		soak.Note("loss and slow links")
 		soak.Loss = soak.Chance.Float64() / 2
--- a/internal/simulation/soak_watch_test.go
+++ b/internal/simulation/soak_watch_test.go
@@ -53,6 +53,7 @@
 	inForce  map[uint64]string
 	looks    int
 	marked   int
+	turn     int
 }
 
 func newWatch(soak *soak, document string) *watch {
@@ -71,7 +72,11 @@
 	sum := sha256.Sum256([]byte(request.Document))
 	done.digest = hex.EncodeToString(sum[:])
 	body, _ := json.Marshal(request)
-	for turn := range 6 {
+	watch.guard.Lock()
+	watch.turn++
+	first := watch.turn
+	watch.guard.Unlock()
+	for turn := first; turn < first+6; turn++ {
 		answer, failure := watch.client.Post("http://"+watch.corePub[turn%3]+"/v1/operations", "application/json", bytes.NewReader(body))
 		if failure != nil {
 			break
--- a/internal/simulation/stage_test.go
+++ b/internal/simulation/stage_test.go
@@ -272,9 +272,11 @@
 }
 
 // leader is the core that owns the service's part.
-func (stage *stage) leader() string {
+func (stage *stage) leader() string { return stage.owner(1) }
+
+func (stage *stage) owner(part int) string {
 	for _, address := range stage.corePub {
-		if overview := stage.overview(address); len(overview.Parts) > 1 && overview.Parts[1].Owner {
+		if overview := stage.overview(address); len(overview.Parts) > part && overview.Parts[part].Owner {
 			return overview.Name
 		}
 	}
