Share the engines' room among the routers that the contract names

Cause: each router judged room by what it knew of strangers, late: prompts were read for nothing in a crowd, and a cold engine got the sum of all routers' first runs. The leader names the routers it hears; each has its own share, borrows at warm engines all but a place for each other router, and at cold ones nothing.

--- /dev/null
+++ b/internal/catalogue/room.go
@@ -0,0 +1,68 @@
+package catalogue
+
+import (
+	"hash/fnv"
+
+	"coursepass/internal/schedule"
+)
+
+const (
+	warmSpan = 5 * schedule.Second
+	warmRuns = 8
+	coldRoom = 2
+	// So many runs must have ended before a cold engine earns more room.
+	firstRuns = 4
+)
+
+// An engine that failed a run, or said that it is cold, may be another life than the one
+// that was heard of: it counts as cold until it is heard again.
+//
+// room is how many runs an engine may have from all routers together, and whether it is
+// cold: then it starts with two, and earns more by the work it has done.
+func (held *seat) room(now schedule.Microseconds) (places int, cold bool) {
+	age := held.report.Age + now - held.heard
+	if held.doubted > held.heard {
+		return min(held.slots(), coldRoom), true
+	}
+	if age < warmSpan && held.report.Completed < warmRuns {
+		places := coldRoom
+		if held.report.Completed >= firstRuns {
+			places = int(held.report.Completed)
+		}
+		return min(held.slots(), places), true
+	}
+	return held.slots(), false
+}
+
+// share is this router's part of so many places at an engine, by the routers that the
+// contract names: the parts of all add up to the places, and who has the odd ones
+// differs from engine to engine. One that is not named yet has none.
+func (table *Table) share(held *seat, places int) int {
+	routers := table.contract.Routers
+	for place, name := range routers {
+		if name != table.self {
+			continue
+		}
+		hash := fnv.New32a()
+		_, _ = hash.Write([]byte(held.Name))
+		share := places / len(routers)
+		if (place+int(hash.Sum32()%uint32(len(routers))))%len(routers) < places%len(routers) {
+			share++
+		}
+		return share
+	}
+	return 0
+}
+
+// gives tells whether this router may take one more place at an engine, besides so many that it is about to take. Its own share is
+// always its; of a warm engine it may borrow what the others leave unused, but for one
+// place each, since what is known of their runs is late. Of a cold one it may not.
+func (table *Table) gives(now schedule.Microseconds, held *seat, more int) bool {
+	places, cold := held.room(now)
+	share, own, busy := table.share(held, places), held.own+more, held.busy(now)+float64(more)
+	if cold {
+		return own < share
+	}
+	others := max(len(table.contract.Routers)-1, 0)
+	return busy < float64(places) && (own < share || busy < float64(places-others))
+}
--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -12,8 +12,6 @@
 
 const (
 	strangersFade = 1000 * schedule.Millisecond
-	warmSpan      = 5 * schedule.Second
-	warmRuns      = 8
 	missCost      = 0.5
 	farCost       = 0.2
 	defaultSlots  = 4
@@ -27,8 +25,8 @@
 	own      int
 	others   int
 	sampled  schedule.Microseconds
-	seen     schedule.Microseconds
-	done     int
+	heard    schedule.Microseconds
+	doubted  schedule.Microseconds
 	shunned  schedule.Microseconds
 	prefixes map[string]bool
 }
@@ -42,10 +40,13 @@
 	seats    map[string]*seat
 	gone     []string
 	line
+	self string
 }
 
-// NewTable is an empty picture.
-func NewTable(service string) *Table { return &Table{service: service, seats: map[string]*seat{}} }
+// NewTable is the empty picture of a router.
+func NewTable(service, router string) *Table {
+	return &Table{service: service, self: router, seats: map[string]*seat{}}
+}
 
 // Update takes the list and contract in force.
 func (table *Table) Update(now schedule.Microseconds, view View) {
@@ -58,7 +59,7 @@
 		}
 		held, known := table.seats[name]
 		if !known || held.Incarnation != engine.Incarnation {
-			held = &seat{seen: now, prefixes: map[string]bool{}}
+			held = &seat{prefixes: map[string]bool{}}
 			table.seats[name] = held
 		}
 		held.Engine = engine
@@ -87,7 +88,7 @@
 	if !known || held.Incarnation != report.Incarnation {
 		return
 	}
-	held.report = report
+	held.report, held.heard = report, now
 	held.prefixes = map[string]bool{}
 	for _, prefix := range report.Prefixes {
 		held.prefixes[prefix] = true
@@ -124,9 +125,9 @@
 // Experience is what came of a pick.
 type Experience struct {
 	Now     schedule.Microseconds
-	Ended   bool
 	Full    bool
 	Mishap  bool
+	Cold    bool
 	Prefix  string
 	Running int
 }
@@ -138,16 +139,6 @@
 	return defaultSlots
 }
 
-// room is how many runs an engine may have from here: a cold one starts with one
-// and earns more by time and by work done.
-func (held *seat) room(now schedule.Microseconds) int {
-	slots := held.slots()
-	if age := now - held.seen; age < warmSpan && held.done < warmRuns && held.report.Age < warmSpan {
-		return min(slots, 1+held.done/2+int(age/schedule.Second))
-	}
-	return slots
-}
-
 func (held *seat) busy(now schedule.Microseconds) float64 {
 	fade := 1 - float64(now-held.sampled)/float64(strangersFade)
 	return float64(held.own) + float64(held.others)*max(fade, 0)
@@ -168,7 +159,7 @@
 		}
 		fit = true
 		busy := held.busy(now)
-		if busy >= float64(held.room(now)) {
+		if !table.gives(now, held, 0) {
 			continue
 		}
 		cost := busy/float64(held.slots()) + 0.02*rand.Float64()
@@ -215,7 +206,7 @@
 	lowest := 0.0
 	for _, first := range readers {
 		for _, second := range writers {
-			if !table.paired(first.Name, second.Name) || first.seat == second.seat && first.busy(now)+1 >= float64(first.room(now)) {
+			if !table.paired(first.Name, second.Name) || first.seat == second.seat && !table.gives(now, first.seat, 1) {
 				continue
 			}
 			cost := first.cost + second.cost
@@ -269,9 +260,6 @@
 		table.lock.Lock()
 		defer table.lock.Unlock()
 		held.own--
-		if experience.Ended {
-			held.done++
-		}
 		if experience.Prefix != "" {
 			held.prefixes[experience.Prefix] = true
 		}
@@ -281,6 +269,9 @@
 		if experience.Full {
 			held.others, held.sampled = max(held.slots()-held.own, held.others), experience.Now
 		}
+		if experience.Mishap || experience.Cold {
+			held.doubted = experience.Now
+		}
 		if experience.Mishap {
 			held.shunned = experience.Now + shunSpan
 		}
--- a/internal/catalogue/table_test.go
+++ b/internal/catalogue/table_test.go
@@ -12,6 +12,11 @@
 )
 
 func table(now schedule.Microseconds, ages ...schedule.Microseconds) *catalogue.Table {
+	return tableOf(now, "r0", 1, 0, ages...)
+}
+
+// tableOf is the picture of one of so many routers.
+func tableOf(now schedule.Microseconds, self string, routers int, completed int64, ages ...schedule.Microseconds) *catalogue.Table {
 	view := catalogue.NewState().View
 	drawn := contract.Contract{Service: "s", Parts: map[string]string{}}
 	for number := range ages {
@@ -19,11 +24,14 @@
 		view.Engines[name] = catalogue.Engine{Name: name, Service: "s", Hall: fmt.Sprint("h", number), Incarnation: "1"}
 		drawn.Parts[name] = contract.Both
 	}
+	for number := range routers {
+		drawn.Routers = append(drawn.Routers, fmt.Sprint("r", number))
+	}
 	view.Contracts["s"] = drawn
-	found := catalogue.NewTable("s")
+	found := catalogue.NewTable("s", self)
 	found.Update(now, view)
 	for number, age := range ages {
-		found.Hear(now, catalogue.Report{Name: fmt.Sprint("e", number), Service: "s", Incarnation: "1", Version: "1", Capacity: 8, Age: age})
+		found.Hear(now, catalogue.Report{Name: fmt.Sprint("e", number), Service: "s", Incarnation: "1", Version: "1", Capacity: 8, Age: age, Completed: completed})
 	}
 	return found
 }
@@ -32,37 +40,47 @@
 	return catalogue.Want{Part: contract.Prefill, Hall: hall, Versions: []string{"1"}}
 }
 
-func TestAColdEngineIsNotFlooded(test *testing.T) {
-	Convey("a cold engine gets one run, then more by time and by work done", test, func() {
-		now := 100 * schedule.Second
-		found := table(now, 0)
-		pick, _ := found.Choose(now, want("h0"))
-		So(pick, ShouldNotBeNil)
-		second, fit := found.Choose(now, want("h0"))
-		So(second, ShouldBeNil)
-		So(fit, ShouldBeTrue)
-		pick.Done(catalogue.Experience{Now: now, Ended: true})
-		for round := range 4 {
-			taken := 0
-			var held []*catalogue.Pick
-			for {
-				next, _ := found.Choose(now, want("h0"))
-				if next == nil {
-					break
+// Up to nine routers that share one contract take all the room they can get at engines
+// that have all just started: the sum stays within the room of a cold engine, which grows
+// only with the work that the engine has done.
+func TestColdEnginesAreNotFloodedByTheSum(test *testing.T) {
+	now := 100 * schedule.Second
+	for routers := 1; routers <= 9; routers++ {
+		for _, completed := range []int64{0, 1, 2, 4, 7, 8} {
+			sums := map[string]int{}
+			for self := range routers {
+				found := tableOf(now, fmt.Sprint("r", self), routers, completed, 0, 0, 0)
+				for range 100 {
+					pick, _ := found.Choose(now, want("h0"))
+					if pick == nil {
+						break
+					}
+					sums[pick.Name]++
 				}
-				taken++
-				held = append(held, next)
 			}
-			So(taken, ShouldBeLessThanOrEqualTo, 1<<round)
-			for _, each := range held {
-				each.Done(catalogue.Experience{Now: now, Ended: true})
+			most := 2
+			switch {
+			case completed >= 8:
+				most = 8 * routers
+			case completed >= 4:
+				most = int(completed)
+			}
+			for name, sum := range sums {
+				if sum > most || routers == 1 && sum < min(most, 8) {
+					test.Errorf("%d routers, %d runs done: %s got %d at once, of %d", routers, completed, name, sum, most)
+				}
+			}
+			if len(sums) < 3 {
+				test.Errorf("%d routers, %d runs done: only %v got work", routers, completed, sums)
 			}
 		}
-		now += 6 * schedule.Second
-		for range 8 {
-			next, _ := found.Choose(now, want("h0"))
-			So(next, ShouldNotBeNil)
-		}
+	}
+	Convey("a router that the contract does not name has no room at a cold engine", test, func() {
+		pick, fit := tableOf(now, "stranger", 3, 0, 0).Choose(now, want("h0"))
+		So(pick, ShouldBeNil)
+		So(fit, ShouldBeTrue)
+		pick, _ = tableOf(now, "stranger", 3, 8, 0).Choose(now, want("h0"))
+		So(pick, ShouldNotBeNil)
 	})
 }
 
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -30,6 +30,8 @@
 	Owner   string
 	Parts   map[string]string
 	Pairs   []Pair
+	// Routers are those that share the engines' room, in order.
+	Routers []string
 }
 
 // Same tells whether two contracts ask the same of engines and routers.
@@ -42,7 +44,7 @@
 			return false
 		}
 	}
-	return slices.Equal(contract.Pairs, other.Pairs)
+	return slices.Equal(contract.Pairs, other.Pairs) && slices.Equal(contract.Routers, other.Routers)
 }
 
 // Partners are the decode engines that a prefill engine hands over to.
@@ -114,13 +116,18 @@
 	if count < 2 {
 		return present
 	}
-	present = min(max(present, 1), count-1)
+	// Two of each part, where there are enough, so that the loss of one hall leaves one.
+	least := 1
+	if count >= 4 {
+		least = 2
+	}
+	present = min(max(present, least), count-least)
 	have := float64(present) / float64(count)
 	way := 0
 	switch {
-	case fraction > have+band && present < count-1:
+	case fraction > have+band && present < count-least:
 		way = 1
-	case fraction < have-band && present > 1:
+	case fraction < have-band && present > least:
 		way = -1
 	}
 	if way != share.way {
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -34,6 +34,15 @@
 		step(60, func(turn int) float64 { return 0.2 + 0.5*float64(turn%2) })
 		So(moves, ShouldEqual, 0)
 	})
+	Convey("from four engines on, each part keeps two, so that a lost hall leaves one", test, func() {
+		for count := 5; count <= 12; count++ {
+			share, readers := &contract.Share{}, count/2
+			for turn := range 100 {
+				readers = share.Readers(schedule.Microseconds(turn), count, readers, float64(turn/50))
+				So(readers, ShouldBeBetweenOrEqual, 2, count-2)
+			}
+		}
+	})
 	Convey("each part keeps an engine", test, func() {
 		share := &contract.Share{}
 		readers := 1
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -113,7 +113,7 @@
 		group.Go(func() {
 			duty.polls.Add(1)
 			report, failure := duty.fetch(bounded, engine.Address)
-			if failure != nil || report.Name != engine.Name {
+			if failure != nil || report.Name != engine.Name || report.Incarnation != engine.Incarnation {
 				return
 			}
 			duty.lock.Lock()
@@ -218,6 +218,7 @@
 		}
 	}
 	drawn := contract.Draw(service, duty.core.Machine.Inner, round, candidates)
+	drawn.Routers = duty.core.routersHeard(now)
 	for _, each := range live {
 		if duty.moves(now, each, signed) && !each.leaves(now, signed) {
 			continue
--- a/internal/core/heads.go
+++ b/internal/core/heads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"coursepass/internal/catalogue"
 	"coursepass/internal/circuit"
@@ -76,9 +77,38 @@
 	Round uint64
 }
 
+// routerGone is how long a router may not ask until it has no share in the engines' room.
+const routerGone = 3 * schedule.Second
+
+func (core *Core) hearRouter(from machine.Machine) {
+	if from.Role != machine.Router || from.Name == "" {
+		return
+	}
+	core.lock.Lock()
+	defer core.lock.Unlock()
+	core.routers[from.Name] = core.clock.Now()
+}
+
+// routersHeard are the routers that have asked for heads lately, in order.
+func (core *Core) routersHeard(now schedule.Microseconds) []string {
+	core.lock.Lock()
+	defer core.lock.Unlock()
+	var names []string
+	for name, heard := range core.routers {
+		if now-heard > routerGone {
+			delete(core.routers, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (core *Core) serveRouters() {
 	circuit.Answer(core.inner, HeadsPath, func(_ context.Context, question *HeadsQuestion) (*HeadsAnswer, error) {
 		core.meter.Know(question.From.Inner, question.From.Hall)
+		core.hearRouter(question.From)
 		answer := &HeadsAnswer{}
 		for _, shard := range core.shards {
 			found := PartHead{Head: news.Head{Part: shard.index}}
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -147,14 +147,14 @@
 	experience.Running = running(answer)
 	if answer.StatusCode != http.StatusOK {
 		code := declinedBy(answer)
-		experience.Full = code.Unstarted()
+		experience.Full, experience.Cold = code.Unstarted(), code == mishap.EngineCold
 		return engine.Ticket{}, router.turned(parent, passing, pick, contract.Prefill, code)
 	}
 	var ticket engine.Ticket
 	if json.NewDecoder(io.LimitReader(answer.Body, 64<<10)).Decode(&ticket) != nil || ticket.Run != passing.run {
 		return engine.Ticket{}, router.lost(parent, passing, pick, contract.Prefill, mishap.New(mishap.EndingUnknown, "no ticket from %s", pick.Name))
 	}
-	experience.Ended, experience.Prefix = true, passing.template.Prefix
+	experience.Prefix = passing.template.Prefix
 	return ticket, passing.Move(relay.HandedOver)
 }
 
@@ -255,11 +255,10 @@
 	experience.Running = running(answer)
 	if answer.StatusCode != http.StatusOK {
 		code := declinedBy(answer)
-		experience.Full = code.Unstarted() && code != mishap.TicketVoid
+		experience.Full, experience.Cold = code.Unstarted() && code != mishap.TicketVoid, code == mishap.EngineCold
 		return router.turned(parent, passing, pick, contract.Decode, code)
 	}
 	failure = router.stream(passing, answer.Body, ticket, bounded.shown)
-	experience.Ended = failure == nil
 	if failure == nil {
 		return passing.Move(relay.Finished)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -163,7 +163,7 @@
 	defer router.lock.Unlock()
 	table, known := router.tables[service]
 	if !known {
-		table = catalogue.NewTable(service)
+		table = catalogue.NewTable(service, router.Machine.Name)
 		if view := router.view.Load(); view != nil {
 			table.Evacuate(view.Evacuated)
 		}
--- a/internal/simulation/soak_fleet_test.go
+++ b/internal/simulation/soak_fleet_test.go
@@ -137,6 +137,7 @@
 	run.Watch = func(told load.Told) {
 		soak.lock.Lock()
 		defer soak.lock.Unlock()
+		told.Ended += schedule.Microseconds(origin.UnixMicro())
 		told.At += schedule.Microseconds(origin.UnixMicro())
 		soak.told = append(soak.told, told)
 	}
@@ -205,6 +206,18 @@
 	soak.wake(name)
 }
 
+// late lists what was not whole after the recovery's bound.
+func (soak *soak) late() (found []string) {
+	soak.lock.Lock()
+	defer soak.lock.Unlock()
+	for _, told := range soak.told {
+		if span := time.Duration(told.At-schedule.Microseconds(soak.healed.UnixMicro())) * time.Microsecond; span > recovery && told.Name != "whole" {
+			found = append(found, fmt.Sprintf("%v %s: %s after %v", span, told.Kind, told.Name, (told.Ended-told.At).Duration()))
+		}
+	}
+	return found
+}
+
 // recovered is how long after the healing the last request came that was not whole.
 func (soak *soak) recovered() time.Duration {
 	soak.lock.Lock()
--- a/internal/simulation/soak_watch_test.go
+++ b/internal/simulation/soak_watch_test.go
@@ -261,7 +261,7 @@
 		watch.violate("%d engine books read, %d missing", figures.Books, figures.Missing)
 	}
 	if span := watch.recovered(); span > recovery {
-		watch.violate("a request %v after all machines returned was not whole", span)
+		watch.violate("a request %v after all machines returned was not whole: %v", span, watch.late())
 	}
 	if most := figures.Keys + figures.Keys/5 + 5; figures.Runs > most {
 		watch.violate("%d prompts read for %d requests", figures.Runs, figures.Keys)
--- a/internal/simulation/stage_load_test.go
+++ b/internal/simulation/stage_load_test.go
@@ -81,3 +81,26 @@
 		most(test, stage.load(3), 1)
 	})
 }
+
+// All engines return together while callers go on: none is flooded while it is cold.
+func TestColdEnginesReturnTogether(test *testing.T) {
+	deployment := small()
+	deployment.routers = 7
+	playFor(test, deployment, 200, func(stage *stage) {
+		figures := stage.during(16, func() {
+			for number := range 6 {
+				stage.kill(fmt.Sprint("engine-", number))
+			}
+			time.Sleep(time.Second)
+			for number := range 6 {
+				stage.wake(fmt.Sprint("engine-", number))
+			}
+		})
+		most(test, figures, 0.8)
+		for name, observer := range stage.observers {
+			if count := observer.Chilled(); count > 2 {
+				test.Errorf("%s turned away %d while it was cold", name, count)
+			}
+		}
+	})
+}
