Count the time in suspend on the clocks of cores and routers

Cause: Go's monotonic clock stands still while a machine is suspended, so a grant or a majority read outlived it. Clocks read the time since boot, suspends included, where the system has it. Ruled out: wall clocks, which jump. Play: right after a suspend of 2 s a cut-off router is not ready; with the suspend not counted it says ready.

--- a/internal/circuit/dial.go
+++ b/internal/circuit/dial.go
@@ -27,8 +27,22 @@
 	Dial(context context.Context, address string, silence schedule.Microseconds) (net.Conn, error)
 }
 
+// Timed is a network whose machines have a clock of their own.
+type Timed interface{ NewClock() *schedule.Clock }
+
+// NewClock is the clock of a machine on this network.
+func NewClock(network Network) *schedule.Clock {
+	if timed, yes := network.(Timed); yes {
+		return timed.NewClock()
+	}
+	return schedule.NewClock()
+}
+
 type system struct{}
 
+// NewClock counts the time in suspend.
+func (system) NewClock() *schedule.Clock { return schedule.NewSuspendClock() }
+
 // System is the machine's own network.
 var System Network = system{}
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -107,7 +107,7 @@
 			Name: settings.Place.Name, Role: machine.Core, Hall: settings.Place.Hall,
 			Inner: settings.Inner.Inner, Public: settings.Place.Public, Incarnation: incarnation,
 		},
-		clock:   schedule.NewClock(),
+		clock:   circuit.NewClock(network),
 		meter:   hall.NewMeter(settings.Place.Hall),
 		journal: disk, diary: diary, senders: map[string]*sender{}, routers: map[string]schedule.Microseconds{}, configuring: make(chan struct{}, 1),
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -108,7 +108,7 @@
 			Name: settings.Place.Name, Role: machine.Router, Hall: settings.Place.Hall,
 			Inner: settings.Inner.Inner, Public: settings.Place.Public, Incarnation: incarnation,
 		},
-		clock: schedule.NewClock(), meter: hall.NewMeter(settings.Place.Hall), keys: relay.NewKeys(),
+		clock: circuit.NewClock(network), meter: hall.NewMeter(settings.Place.Hall), keys: relay.NewKeys(),
 		claimant: rand.Uint64(), clerks: clerks{desks: map[desk]*clerk{}, told: map[desk]uint64{}},
 		tables: map[string]*catalogue.Table{}, repeats: map[string]*relay.Repeats{}, queues: map[string]*atomic.Int64{}, seats: make([]atomic.Pointer[part.Bindings], settings.Parts),
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -28,19 +28,29 @@
 	return Microseconds(duration / time.Microsecond)
 }
 
+// Source tells monotonic time from any start.
+type Source func() Microseconds
+
 // Clock tells monotonic time.
-type Clock struct{ start time.Time }
+type Clock struct {
+	source Source
+	start  Microseconds
+}
 
 // NewClock starts a clock slightly above zero, so that zero means "never yet".
 func NewClock() *Clock {
-	return &Clock{start: time.Now().Add(-time.Second)}
+	origin := time.Now()
+	return NewClockOf(func() Microseconds { return Of(time.Since(origin)) })
 }
 
-// Now is the moment on this clock. It never falls.
-func (clock *Clock) Now() Microseconds {
-	return Of(time.Since(clock.start))
+// NewClockOf starts a clock on a source.
+func NewClockOf(source Source) *Clock {
+	return &Clock{source: source, start: source() - Second}
 }
 
+// Now is the moment on this clock. It never falls.
+func (clock *Clock) Now() Microseconds { return clock.source() - clock.start }
+
 // Loop is a select loop written once: inputs are handled one at a time, and the
 // handler says when it wants to be woken next.
 type Loop[Input any] struct {
--- a/internal/simulation/fabric.go
+++ b/internal/simulation/fabric.go
@@ -24,13 +24,14 @@
 	frozen    map[string]time.Time
 	disks     map[string]*disk
 	kills     map[string]int
+	suspended map[string]schedule.Microseconds
 	circuits  map[*fabricCircuit]bool
 }
 
 // NewFabric has every write take the latency.
 func NewFabric(latency schedule.Microseconds) *Fabric {
 	return &Fabric{Latency: latency, listeners: map[string]*fabricListener{}, cut: map[[2]string]bool{}, slow: map[[2]string]schedule.Microseconds{},
-		frozen: map[string]time.Time{}, disks: map[string]*disk{}, kills: map[string]int{}, circuits: map[*fabricCircuit]bool{}}
+		frozen: map[string]time.Time{}, disks: map[string]*disk{}, kills: map[string]int{}, suspended: map[string]schedule.Microseconds{}, circuits: map[*fabricCircuit]bool{}}
 }
 
 type fabricAddress string
--- a/internal/simulation/soak_faults_test.go
+++ b/internal/simulation/soak_faults_test.go
@@ -40,6 +40,8 @@
 	"router isolated":    func(soak *soak) { soak.alone(soak.any("router")) },
 	"router frozen":      func(soak *soak) { soak.sleep(soak.any("router"), 4000) },
 	"herd":               (*soak).herd,
+	"router suspended":   func(soak *soak) { soak.Suspend(soak.any("router"), 5*schedule.Second) },
+	"core suspended":     func(soak *soak) { soak.Suspend(soak.any("core"), 5*schedule.Second) },
 	"hall lost":          (*soak).loseHall,
 	"slow disk": func(soak *soak) {
 		soak.SlowDisk(soak.any("core"), schedule.Microseconds(100+soak.chance.IntN(900))*schedule.Millisecond)
--- a/internal/simulation/stage_input_test.go
+++ b/internal/simulation/stage_input_test.go
@@ -16,6 +16,7 @@
 	"coursepass/internal/hall"
 	"coursepass/internal/mishap"
 	"coursepass/internal/operator"
+	"coursepass/internal/schedule"
 	"coursepass/internal/simulation"
 )
 
@@ -155,3 +156,20 @@
 		most(test, stage.during(4, func() {}), 1)
 	})
 }
+
+// A router sleeps through a suspend that its timers do not count, while the configuration
+// changes and it is cut off: when it wakes, its last majority read is too old to take work.
+func TestASuspendedRouterIsNotFresh(test *testing.T) {
+	play(test, func(stage *stage) {
+		alone := operator.Target{Cores: stage.routPub[1:2], Network: stage.change().Network}
+		var text string
+		if failure := alone.Get("/ready", &text); failure != nil {
+			test.Fatal(failure)
+		}
+		stage.Isolate("router-1", []string{"core-0", "core-1", "core-2", "router-0", "router-2"})
+		stage.Suspend("router-1", 2*schedule.Second)
+		if failure := alone.Get("/ready", &text); mishap.CodeOf(failure, 0) != mishap.RouterStale {
+			test.Errorf("right after a suspend of two seconds: %v", failure)
+		}
+	})
+}
