--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -43,6 +43,8 @@
 	Sequence  uint64
 	Engines   map[string]Engine
 	Contracts map[string]contract.Contract
+	// Replaced is the life before the one that is listed: its enrolment may come late.
+	Replaced map[string]string
 }
 
 // State is what the log of a service part builds.
@@ -50,7 +52,7 @@
 
 // NewState is an empty list.
 func NewState() *State {
-	return &State{View{Engines: map[string]Engine{}, Contracts: map[string]contract.Contract{}}}
+	return &State{View{Engines: map[string]Engine{}, Contracts: map[string]contract.Contract{}, Replaced: map[string]string{}}}
 }
 
 // Result is an operation's result.
@@ -71,8 +73,15 @@
 	case Enrol:
 		// A life that enrols once more, since it heard no answer, is still leaving.
 		enrolled := operation.Engine
-		if known := state.Engines[enrolled.Name]; known.Incarnation == enrolled.Incarnation {
+		known := state.Engines[enrolled.Name]
+		switch {
+		case known.Incarnation == enrolled.Incarnation:
 			enrolled.Leaving = known.Leaving
+		case known.Name != "" && state.Replaced[enrolled.Name] == enrolled.Incarnation:
+			return encode(Result{Code: mishap.SequenceStale, Sequence: state.Sequence})
+		case known.Name != "":
+			state.Replaced = maps.Clone(state.Replaced)
+			state.Replaced[enrolled.Name] = known.Incarnation
 		}
 		state.Engines = maps.Clone(state.Engines)
 		state.Engines[enrolled.Name] = enrolled
