Bound the evaluation of documents, by their shape and by time

Cause: a document was evaluated for as long as it took, while later operations queued. One whose structs have too many fields (25 000 in one struct, about 5 s) is declined at once with code 4007; an evaluation past the operation's own budget is declined too and ends alone. Ruled out: interrupting the library, which it does not offer.

--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -158,6 +159,19 @@
 	})
 }
 
+func TestCostlyDocumentsAreDeclinedAtOnce(test *testing.T) {
+	Convey("more fields in one struct than can be evaluated in time", test, func() {
+		var document strings.Builder
+		document.WriteString("services: s: prefixes: {\n")
+		for number := range 26_000 {
+			fmt.Fprintf(&document, "\"p%d\": tokens: 1\n", number)
+		}
+		document.WriteString("}\n")
+		_, failure := configuration.Expand(document.String(), nil)
+		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationCostly)
+	})
+}
+
 // Two small changes, an evacuation and a document that is declined, all drafted on the
 // sequence in force, are committed in every order; a change of leader between any two has
 // the second of them sent again under its key. Exactly the first that builds on the
--- a/internal/configuration/plan.go
+++ b/internal/configuration/plan.go
@@ -114,6 +114,9 @@
 	if failure != nil {
 		return Plan{}, declined(failure)
 	}
+	if spent := cost(file); spent > mostCost {
+		return Plan{}, mishap.New(mishap.ConfigurationCostly, "cost %d of at most %d, by the squares of the fields of each struct", spent, int64(mostCost))
+	}
 	source := document + "\n"
 	for path, text := range changes {
 		added, failure := change(file, path, text)
@@ -140,6 +143,21 @@
 	return plan, plan.check()
 }
 
+// mostCost is what some 25 000 fields in one struct cost: about five seconds.
+const mostCost = 25_000 * 25_000
+
+// cost is how much a document takes to evaluate: the square of each struct's fields.
+func cost(file *ast.File) int64 {
+	spent := int64(0)
+	ast.Walk(file, func(node ast.Node) bool {
+		if inner, yes := node.(*ast.StructLit); yes {
+			spent += int64(len(inner.Elts)) * int64(len(inner.Elts))
+		}
+		return true
+	}, nil)
+	return spent
+}
+
 // change is the line that gives a parameter its value, if the document declares it.
 func change(file *ast.File, path, text string) (string, error) {
 	names := strings.Split(path, ".")
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"sync"
 
 	"github.com/phuslu/log"
 
@@ -113,10 +114,12 @@
 	// One request at a time, but for those that need no expansion and can't lose a race:
 	// whoever comes second then sees the first one's sequence,
 	// and is declined without a costly expansion.
+	free := func() {}
 	if !request.Whichever {
 		select {
 		case core.configuring <- struct{}{}:
-			defer func() { <-core.configuring }()
+			free = sync.OnceFunc(func() { <-core.configuring })
+			defer func() { free() }()
 		case <-context.Done():
 			return configuration.Outcome{}, mishap.New(mishap.NoMajority, "another operation is under way; nothing was changed")
 		}
@@ -132,7 +135,7 @@
 	}
 	var operation configuration.Operation
 	if !known {
-		drafted, failure := view.Draft(request)
+		drafted, failure := core.draft(context, view, request, &free)
 		if failure != nil {
 			return configuration.Outcome{Code: mishap.CodeOf(failure, mishap.Malformed), Sequence: view.Sequence, Text: mishap.Text(failure)}, nil
 		}
@@ -153,6 +156,32 @@
 	return outcome, mishap.Wrap(failure, mishap.Garbage, "outcome")
 }
 
+// draft evaluates a request within the operation's budget. The library can't be
+// interrupted: an evaluation that takes longer goes on alone, its operation is declined,
+// and the next one waits for its end.
+func (core *Core) draft(context context.Context, view configuration.View, request configuration.Request, free *func()) (configuration.Operation, error) {
+	type drafted struct {
+		operation configuration.Operation
+		failure   error
+	}
+	done, release := make(chan drafted, 1), *free
+	go func() {
+		operation, failure := view.Draft(request)
+		done <- drafted{operation, failure}
+	}()
+	select {
+	case found := <-done:
+		return found.operation, found.failure
+	case <-context.Done():
+		*free = func() {}
+		go func() {
+			<-done
+			release()
+		}()
+		return configuration.Operation{}, mishap.New(mishap.ConfigurationCostly, "the evaluation took longer than the operation may")
+	}
+}
+
 func (core *Core) serveErrands() {
 	circuit.Answer(core.inner, operatePath, func(context context.Context, errand *Errand) (*Errands, error) {
 		errand.Relayed = true
--- a/internal/mishap/code.go
+++ b/internal/mishap/code.go
@@ -42,6 +42,7 @@
 	NotOwner             Code = 4004
 	NoMajority           Code = 4005
 	UnknownOperation     Code = 4006
+	ConfigurationCostly  Code = 4007
 
 	SettingBad    Code = 5000
 	AddressTaken  Code = 5001
@@ -105,6 +106,7 @@
 	{NotOwner, "not-owner", 503, "this core does not own the part now; ask again"},
 	{NoMajority, "no-majority", 503, "no majority of cores answered; nothing is claimed"},
 	{UnknownOperation, "unknown-operation", 404, "no operation with this key has been committed"},
+	{ConfigurationCostly, "configuration-costly", 413, "the document would take too long to evaluate; nothing was changed"},
 	{SettingBad, "setting-bad", 0, "a flag or setting is wrong; its name follows"},
 	{AddressTaken, "address-taken", 0, "the address can't be listened on"},
 	{StartFailed, "start-failed", 0, "the daemon could not start"},
