--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,7 +69,7 @@
 	diary       *claim.Diary
 	gossip      *sibling.Gossip
 	senders     map[string]*sender
-	routers     map[string]schedule.Microseconds
+	routers     map[string]routerHeard
 	lock        sync.Mutex
 	running     context.Context
 	shards      []*shard
@@ -109,7 +109,7 @@
 		},
 		clock:   circuit.NewClock(network),
 		meter:   hall.NewMeter(settings.Place.Hall),
-		journal: disk, diary: diary, senders: map[string]*sender{}, routers: map[string]schedule.Microseconds{}, configuring: make(chan struct{}, 1),
+		journal: disk, diary: diary, senders: map[string]*sender{}, routers: map[string]routerHeard{}, configuring: make(chan struct{}, 1),
 	}
 	core.inner = circuit.NewInner(settings.Fleet, core.meter, network)
 	view := sibling.NewView(core.Machine, 8, 4, incarnation)
--- a/internal/core/heads.go
+++ b/internal/core/heads.go
@@ -77,8 +77,17 @@
 	Round uint64
 }
 
-// routerGone is how long a router may not ask until it has no share in the engines' room.
-const routerGone = 3 * schedule.Second
+const (
+	// routerGone is how long a router may not ask until it has no share in the engines' room.
+	routerGone = 3 * schedule.Second
+	// routerForgotten is how long operators are told of one that does not ask any more.
+	routerForgotten = 600 * schedule.Second
+)
+
+type routerHeard struct {
+	machine.Machine
+	at schedule.Microseconds
+}
 
 func (core *Core) hearRouter(from machine.Machine) {
 	if from.Role != machine.Router || from.Name == "" {
@@ -86,7 +95,7 @@
 	}
 	core.lock.Lock()
 	defer core.lock.Unlock()
-	core.routers[from.Name] = core.clock.Now()
+	core.routers[from.Name] = routerHeard{from, core.clock.Now()}
 }
 
 // routersHeard are the routers that have asked for heads lately, in order.
@@ -95,11 +104,12 @@
 	defer core.lock.Unlock()
 	var names []string
 	for name, heard := range core.routers {
-		if now-heard > routerGone {
+		switch {
+		case now-heard.at > routerForgotten:
 			delete(core.routers, name)
-			continue
+		case now-heard.at <= routerGone:
+			names = append(names, name)
 		}
-		names = append(names, name)
 	}
 	slices.Sort(names)
 	return names
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -27,6 +27,33 @@
 	Plan      configuration.Plan `json:"plan"`
 }
 
+// RouterHeard is a router that has asked this core for heads.
+type RouterHeard struct {
+	Name   string                `json:"name"`
+	Hall   string                `json:"hall"`
+	Public string                `json:"public"`
+	Ago    schedule.Microseconds `json:"agoMicroseconds"`
+}
+
+// Fleet is what a core knows of routers and, where it leads, of engines.
+type Fleet struct {
+	Routers []RouterHeard      `json:"routers"`
+	Engines []catalogue.Report `json:"engines"`
+}
+
+func (core *Core) fleet() Fleet {
+	found, now := Fleet{Routers: []RouterHeard{}, Engines: []catalogue.Report{}}, core.clock.Now()
+	core.lock.Lock()
+	for _, each := range core.routers {
+		found.Routers = append(found.Routers, RouterHeard{Name: each.Name, Hall: each.Hall, Public: each.Public, Ago: now - each.at})
+	}
+	core.lock.Unlock()
+	for _, duty := range core.duties {
+		found.Engines = append(found.Engines, duty.told()...)
+	}
+	return found
+}
+
 // Overview is a core's status.
 type Overview struct {
 	Name     string           `json:"name"`
@@ -41,6 +68,7 @@
 	routes.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, "live") })
 	routes.HandleFunc("GET /ready", core.ready)
 	routes.HandleFunc("GET /v1/status", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, core.overview()) })
+	routes.HandleFunc("GET /v1/fleet", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, core.fleet()) })
 	routes.HandleFunc("GET /counters", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, core.counters()) })
 	routes.HandleFunc("POST /v1/operations", core.takeOperation)
 	routes.HandleFunc("GET /v1/operations/{key}", core.showOperation)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -273,29 +273,3 @@
 	_, failure = os.Stdout.Write(found)
 	return mishap.Wrap(failure, mishap.StartFailed, "print")
 }
-
-// Status prints what each core says of itself.
-type Status struct{ Target }
-
-// Run asks every core by itself.
-func (status *Status) Run() error {
-	reached := 0
-	for _, address := range status.Cores {
-		var overview core.Overview
-		alone := Target{Cores: []string{address}, Network: status.Network}
-		if failure := alone.Get("/v1/status", &overview); failure != nil {
-			fmt.Printf("%s: %s\n", address, mishap.Text(failure))
-			continue
-		}
-		reached++
-		fmt.Printf("%s  %s  hall %s  identity %s\n", address, overview.Name, overview.Hall, overview.Identity)
-		for _, part := range overview.Parts {
-			fmt.Printf("  part %d  slot %d  epoch %d  leader %d  round %d  owner %t  current %t  recovering %t  commit %d  sequence %d  grant left %d ms\n",
-				part.Part, part.Slot, part.Epoch, part.Leader, part.Round, part.Owner, part.Current, part.Recovering, part.Commit, part.Sequence, part.GrantLeft/1000)
-		}
-	}
-	if reached == 0 {
-		return mishap.New(mishap.CircuitLost, "no core answered")
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"coursepass/internal/catalogue"
+	"coursepass/internal/core"
+	"coursepass/internal/mishap"
+	"coursepass/internal/router"
+)
+
+// Status prints the whole fleet: what each core says of itself, and every router and
+// engine that the cores know.
+type Status struct{ Target }
+
+// Run asks every core by itself, and then every router that one of them has heard.
+func (status *Status) Run() error {
+	reached, newest := 0, uint64(0)
+	routers, engines := map[string]core.RouterHeard{}, map[string]catalogue.Report{}
+	for _, address := range status.Cores {
+		var overview core.Overview
+		if failure := status.alone(address).Get("/v1/status", &overview); failure != nil {
+			fmt.Printf("%s: %s\n", address, mishap.Text(failure))
+			continue
+		}
+		reached++
+		fmt.Printf("core %s  %s  hall %s  identity %s  claims %d\n", overview.Name, address, overview.Hall, overview.Identity, overview.Counters["claims"])
+		for _, part := range overview.Parts {
+			fmt.Printf("  part %d  slot %d  epoch %d  leader %d  round %d  owner %t  current %t  recovering %t  commit %d  sequence %d  grant left %d ms\n",
+				part.Part, part.Slot, part.Epoch, part.Leader, part.Round, part.Owner, part.Current, part.Recovering, part.Commit, part.Sequence, part.GrantLeft/1000)
+			if part.Part == 0 && part.Current {
+				newest = max(newest, part.Sequence)
+			}
+		}
+		var fleet core.Fleet
+		if status.alone(address).Get("/v1/fleet", &fleet) == nil {
+			for _, each := range fleet.Routers {
+				routers[each.Name] = each
+			}
+			for _, each := range fleet.Engines {
+				engines[each.Name] = each
+			}
+		}
+	}
+	if reached == 0 {
+		return mishap.New(mishap.CircuitLost, "no core answered")
+	}
+	for _, name := range slices.Sorted(maps.Keys(routers)) {
+		status.router(routers[name], newest)
+	}
+	for _, name := range slices.Sorted(maps.Keys(engines)) {
+		each := engines[name]
+		fmt.Printf("engine %s  hall %s  part %s  version %s  running %d of %d  prefixes %d  draining %t  last round %d\n",
+			each.Name, each.Hall, each.Part, each.Version, each.Running, each.Capacity, len(each.Prefixes), each.Draining || each.Drained, each.Round)
+	}
+	if len(engines) == 0 {
+		fmt.Println("no core that was asked leads a service: nothing is told of engines")
+	}
+	return nil
+}
+
+func (status *Status) alone(address string) Target {
+	return Target{Cores: []string{address}, Network: status.Network}
+}
+
+// router prints what one router works by, and how it stands against the cores.
+func (status *Status) router(heard core.RouterHeard, newest uint64) {
+	var overview router.Overview
+	if failure := status.alone(heard.Public).Get("/v1/status", &overview); failure != nil {
+		fmt.Printf("router %s  %s  hall %s  last heard %d ms ago  does not answer\n", heard.Name, heard.Public, heard.Hall, heard.Ago/1000)
+		return
+	}
+	state := "ready"
+	switch {
+	case !overview.Ready && overview.InForce.Sequence < newest:
+		state = "STALE, not ready"
+	case !overview.Ready:
+		state = "not ready"
+	case overview.InForce.Sequence < newest:
+		state = "ready, catching up"
+	}
+	counters := overview.Counters
+	fmt.Printf("router %s  %s  hall %s  %s  sequence %d of %d  finished %d  declined %d  cut %d  keys %d  repeats %d\n", heard.Name, heard.Public,
+		heard.Hall, state, overview.InForce.Sequence, newest, counters["finished"], counters["declined"], counters["cut"], counters["keys"], counters["repeats"])
+}
--- a/internal/relay/keys.go
+++ b/internal/relay/keys.go
@@ -114,6 +114,18 @@
 	return Key{}, false
 }
 
+// Count is how many keys are remembered.
+func (keys *Keys) Count() int {
+	count := 0
+	for index := range keys.shards {
+		shard := &keys.shards[index]
+		shard.lock.Lock()
+		count += len(shard.keys)
+		shard.lock.Unlock()
+	}
+	return count
+}
+
 // Lapse is when the next key is forgotten.
 func (keys *Keys) Lapse(now schedule.Microseconds) schedule.Microseconds {
 	next := schedule.Microseconds(keepFor)
