Pass on the steps of the log instead of whole states

Cause: each change sent the part's whole state, with the document, three earlier ones and the outcomes, to every daemon. News carries the committed entries since the last; who lacks the base fetches the whole. All orders of four steps, twice, with a hole or garbage: no state that the log never had.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -113,7 +113,7 @@
 	}
 	core.inner = circuit.NewInner(settings.Fleet, core.meter, network)
 	view := sibling.NewView(core.Machine, 8, 4, incarnation)
-	core.gossip = sibling.NewGossip(view, news.NewStore(nil), core.inner, settings.Seeds)
+	core.gossip = sibling.NewGossip(view, news.NewStore(Advance, nil), core.inner, settings.Seeds)
 	core.seat = part.Seat{Identity: string(disk.Image().Name), Name: core.Machine.Name, Address: core.Machine.Inner}
 	if core.seat.Identity == "" {
 		core.seat.Identity = rand.Text()
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -99,7 +99,7 @@
 		"calls": core.meter.Calls.Load(), "bytes-inside": core.meter.Inside.Load(), "bytes-across": core.meter.Across.Load(),
 		"bytes-unknown": core.meter.Unknown.Load(), "journal-records": core.journal.Records.Load(), "journal-syncs": core.journal.Syncs.Load(),
 		"journal-rewrites": core.journal.Rewrites.Load(), "journal-cut": core.journal.Cut.Load(), "journal-waiting": int64(core.journal.Waiting()),
-		"news-taken": core.gossip.Taken.Load(), "news-known": core.gossip.Known.Load(), "news-passed": core.gossip.Passed.Load(), "news-mended": core.gossip.Mended.Load(),
+		"news-taken": core.gossip.Taken.Load(), "news-known": core.gossip.Known.Load(), "news-passed": core.gossip.Passed.Load(), "news-mended": core.gossip.Mended.Load(), "news-stepped": core.gossip.Stepped.Load(), "news-based": core.gossip.Based.Load(),
 	}
 	counters["diary-mishaps"] = core.DiaryMishaps.Load()
 	for _, shard := range core.shards[1:] {
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -47,19 +47,21 @@
 // shard drives one part's member: it alone touches the member and its state.
 type shard struct {
 	*schedule.Loop[func()]
-	core    *Core
-	index   int
-	member  *part.Member
-	state   replica
-	blank   []byte
-	begun   uint64
-	lock    sync.Mutex
-	waiting map[spot]chan []byte
-	status  atomic.Pointer[Status]
-	seats   atomic.Pointer[part.Bindings]
-	right   atomic.Pointer[order.Right]
-	claims  atomic.Pointer[claims]
-	head    atomic.Pointer[news.Head]
+	core   *Core
+	index  int
+	member *part.Member
+	state  replica
+	blank  []byte
+	begun  uint64
+	// published is the last index that was passed on as news.
+	published uint64
+	lock      sync.Mutex
+	waiting   map[spot]chan []byte
+	status    atomic.Pointer[Status]
+	seats     atomic.Pointer[part.Bindings]
+	right     atomic.Pointer[order.Right]
+	claims    atomic.Pointer[claims]
+	head      atomic.Pointer[news.Head]
 }
 
 func (shard *shard) run(context context.Context) {
@@ -91,6 +93,7 @@
 		return
 	}
 	shard.state.Restore(shard.blank)
+	shard.published = 0
 	shard.begun++
 	remembered := newClaims(shard.core.Incarnation+shard.begun, shard.Clock.Now(), len(shard.core.Seeds), slot)
 	shard.core.diary.Recall(shard.Clock.Now(), shard.index, remembered.Registry)
@@ -200,7 +203,8 @@
 	}
 	if applied && commit > 0 {
 		head := news.Head{Part: shard.index, Index: member.Applied(), Round: member.AppliedRound(), Sequence: status.Sequence, Epoch: seats.Epoch}
-		item := news.Item{Head: head, Data: member.Capture()}
+		item := news.Item{Head: head, Data: member.Capture(), Steps: shard.steps(head.Index)}
+		shard.published = head.Index
 		shard.head.Store(&head)
 		go shard.core.gossip.Publish(context, item)
 	}
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -3,6 +3,7 @@
 package news
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -21,14 +22,24 @@
 	return head.Sequence == other.Sequence && head.Epoch == other.Epoch
 }
 
-// Item is a part's whole state under its head.
+// Step is one committed entry of a part's log.
+type Step struct {
+	Index, Round uint64
+	Data         []byte
+}
+
+// Item is a part's state under its head: whole, or as the steps that lead to it.
 type Item struct {
 	Head
-	Data []byte
+	Data  []byte
+	Steps []Step
 }
 
-// Offer is what a sibling pushes.
-type Offer struct{ Items []Item }
+// Offer is what a sibling pushes. Who lacks what its steps build on asks it.
+type Offer struct {
+	From  string
+	Items []Item
+}
 
 // Digest lists what a sibling has; its answer brings what it lacks.
 type Digest struct{ Heads []Head }
@@ -45,19 +56,45 @@
 	Known  atomic.Int64
 	Passed atomic.Int64
 	Mended atomic.Int64
+	// Stepped counts states that were reached by steps, Based those whose base is not
+	// held here or whose steps do not fit, so that the whole is fetched.
+	Stepped atomic.Int64
+	Based   atomic.Int64
 }
 
+// mostSteps is how many steps a store remembers for siblings that are behind.
+const mostSteps = 64
+
+// Advance makes a part's state from an earlier one and the steps after it, if they lead
+// to that sequence.
+type Advance func(part int, data []byte, steps []Step, sequence uint64) ([]byte, bool)
+
 // Store keeps the newest state of each part. Nothing older ever replaces it.
 type Store struct {
 	Counters
 	lock    sync.Mutex
 	items   map[int]Item
+	steps   map[int][]Step
+	advance Advance
 	changed func(Item)
 }
 
 // NewStore calls changed, in order, for each newer state.
-func NewStore(changed func(Item)) *Store {
-	return &Store{items: map[int]Item{}, changed: changed}
+func NewStore(advance Advance, changed func(Item)) *Store {
+	return &Store{items: map[int]Item{}, steps: map[int][]Step{}, advance: advance, changed: changed}
+}
+
+// Size is how many bytes of state an item carries.
+func (item Item) Size() int { return len(item.Data) + size(item.Steps) }
+
+// since is the steps after an index up to the item's own, if there is none missing.
+func (item Item) since(index uint64) []Step {
+	for place, step := range item.Steps {
+		if step.Index == index+1 && item.Steps[len(item.Steps)-1].Index == item.Index && item.Index-index == uint64(len(item.Steps)-place) {
+			return item.Steps[place:]
+		}
+	}
+	return nil
 }
 
 // Take keeps an item if it is newer than the one held, and says whether its state is
@@ -70,11 +107,30 @@
 		store.Known.Add(1)
 		return false
 	}
-	if known && item.same(held.Head) {
+	steps := item.since(held.Index)
+	switch {
+	case known && item.same(held.Head):
 		item.Data = held.Data
-	} else if item.Data == nil {
+	case item.Data != nil:
+	case !known || steps == nil:
+		store.Based.Add(1)
 		return false
+	default:
+		data, fits := store.advance(item.Part, held.Data, steps, item.Sequence)
+		if !fits {
+			store.Based.Add(1)
+			return false
+		}
+		store.Stepped.Add(1)
+		item.Data = data
+	}
+	if known && steps != nil {
+		steps = append(store.steps[item.Part], steps...)
+		store.steps[item.Part] = slices.Clone(steps[max(len(steps)-mostSteps, 0):])
+	} else {
+		store.steps[item.Part] = nil
 	}
+	item.Steps = nil
 	fresh := !known || !item.same(held.Head)
 	store.items[item.Part] = item
 	store.Taken.Add(1)
@@ -111,6 +167,14 @@
 	return heads
 }
 
+func size(steps []Step) int {
+	sum := 0
+	for _, step := range steps {
+		sum += len(step.Data)
+	}
+	return sum
+}
+
 // Compare answers a digest: the items that the asker lacks, without their data
 // where only the head moved.
 func (store *Store) Compare(digest Digest) Answer {
@@ -129,6 +193,13 @@
 		}
 		if known && head.same(item.Head) {
 			item.Data = nil
+		} else if item.Steps = store.steps[part]; known {
+			if item.Steps = item.since(head.Index); size(item.Steps) < len(item.Data) && item.Steps != nil {
+				item.Data = nil
+			}
+		}
+		if item.Data != nil {
+			item.Steps = nil
 		}
 		answer.Items = append(answer.Items, item)
 	}
--- a/internal/part/binding.go
+++ b/internal/part/binding.go
@@ -103,9 +103,27 @@
 // Bindings are those that count here now.
 func (member *Member) Bindings() Bindings { return member.bindings }
 
+// Replay applies one committed entry to a state and the bindings beside it.
+func Replay(state State, bindings *Bindings, entry journal.Entry) []byte {
+	if found, yes := readBindings(entry); yes {
+		*bindings = found
+		return nil
+	}
+	if len(entry.Data) == 0 {
+		return nil
+	}
+	return state.Apply(entry.Data[1:])
+}
+
+// Pack joins bindings and state, as Unpack splits them.
+func Pack(bindings Bindings, state []byte) []byte { return encode(packed{bindings, state}) }
+
+// Entry is an entry of the log that is still held.
+func (member *Member) Entry(index uint64) (journal.Entry, bool) { return member.at(index) }
+
 // Capture is the applied state with the bindings that were committed with it.
 func (member *Member) Capture() []byte {
-	return encode(packed{member.settledBindings, member.state.Snapshot()})
+	return Pack(member.settledBindings, member.state.Snapshot())
 }
 
 // rebind finds the last bindings in the log again, after the log has changed.
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -247,12 +247,7 @@
 		if !held {
 			break
 		}
-		var answer []byte
-		if found, yes := readBindings(entry); yes {
-			member.settledBindings = found
-		} else if len(entry.Data) > 0 {
-			answer = member.state.Apply(entry.Data[1:])
-		}
+		answer := Replay(member.state, &member.settledBindings, entry)
 		member.applied++
 		member.output.Applied = true
 		if member.stage == leading {
--- a/internal/router/public.go
+++ b/internal/router/public.go
@@ -79,6 +79,6 @@
 		"stale": router.Stale.Load(), "stalls": router.Stalls.Load(), "declined-early": router.Early.Load(), "claims-unheard": router.ClaimsUnheard.Load(), "keys": int64(router.keys.Count()), "foreign": router.inner.Foreign.Load(), "garbage": router.inner.Garbage.Load(),
 		"calls": router.meter.Calls.Load(), "bytes-inside": router.meter.Inside.Load(), "bytes-across": router.meter.Across.Load(),
 		"bytes-unknown": router.meter.Unknown.Load(), "news-taken": router.gossip.Taken.Load(), "news-known": router.gossip.Known.Load(),
-		"news-passed": router.gossip.Passed.Load(), "news-mended": router.gossip.Mended.Load(),
+		"news-passed": router.gossip.Passed.Load(), "news-mended": router.gossip.Mended.Load(), "news-stepped": router.gossip.Stepped.Load(), "news-based": router.gossip.Based.Load(),
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,7 +115,7 @@
 	router.inner = circuit.NewInner(settings.Fleet, router.meter, network)
 	router.client = &http.Client{Transport: circuit.NewTransport(circuit.Options{Network: network, Meter: router.meter})}
 	view := sibling.NewView(router.Machine, 8, 4, incarnation)
-	store := news.NewStore(router.install)
+	store := news.NewStore(core.Advance, router.install)
 	router.gossip = sibling.NewGossip(view, store, router.inner, settings.Seeds)
 	router.serveKeys()
 	router.gate = NewGate(schedule.Microseconds(settings.Fresh)*schedule.Millisecond, settings.Parts, len(settings.Seeds))
--- a/internal/sibling/gossip.go
+++ b/internal/sibling/gossip.go
@@ -37,7 +37,9 @@
 	})
 	circuit.Answer(inner, pushPath, func(context context.Context, offer *news.Offer) (*news.Digest, error) {
 		for _, item := range offer.Items {
-			gossip.pass(context, item)
+			if gossip.pass(context, item); gossip.lacks(item) {
+				go gossip.mendOnce(context, offer.From)
+			}
 		}
 		return &news.Digest{}, nil
 	})
@@ -85,17 +87,35 @@
 // Publish takes news that began here and passes it on.
 func (gossip *Gossip) Publish(context context.Context, item news.Item) { gossip.pass(context, item) }
 
+// lacks tells whether an offered state has not been reached here.
+func (gossip *Gossip) lacks(item news.Item) bool {
+	held, known := gossip.Item(item.Part)
+	return !known || held.Index < item.Index
+}
+
+// mendOnce fetches from one address at a time, but does not wait long for one that is slow.
+func (gossip *Gossip) mendOnce(parent context.Context, address string) {
+	if circuit.CheckAddress(address) != nil {
+		gossip.inner.Garbage.Add(1)
+		return
+	}
+	gossip.Mend(context.WithoutCancel(parent), address)
+}
+
 func (gossip *Gossip) pass(parent context.Context, item news.Item) {
 	if !gossip.Take(item) {
 		return
 	}
+	if item.Steps != nil {
+		item.Data = nil
+	}
 	for _, other := range gossip.Some(fanout) {
 		gossip.Passed.Add(1)
 		go func() {
-			if len(item.Data) > smallPush {
+			if item.Size() > smallPush {
 				return
 			}
-			_, _ = circuit.Call[news.Offer, news.Digest](context.WithoutCancel(parent), gossip.inner, other.Inner, pushPath, patience, &news.Offer{Items: []news.Item{item}})
+			_, _ = circuit.Call[news.Offer, news.Digest](context.WithoutCancel(parent), gossip.inner, other.Inner, pushPath, patience, &news.Offer{From: gossip.Self.Inner, Items: []news.Item{item}})
 		}()
 	}
 }
