--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -302,47 +302,6 @@
 	duty.spread(live, share.Readers(now, len(live), readers, fraction))
 }
 
-// spread keeps present parts where it can, and else takes engines from the halls
-// that have most of the part to be reduced.
-func (duty *duty) spread(live []*soft, readers int) {
-	var idle []*soft
-	have := 0
-	perHall := map[string]int{}
-	for _, each := range live {
-		switch duty.wanted[each.Name] {
-		case contract.Prefill:
-			have++
-			perHall[each.Hall]++
-		case contract.Decode:
-		default:
-			idle = append(idle, each)
-			duty.wanted[each.Name] = contract.Decode
-		}
-	}
-	move := func(from, to string, pool []*soft, change int) {
-		best := -1
-		for place, each := range pool {
-			if duty.wanted[each.Name] == from && (best < 0 || change*perHall[each.Hall] < change*perHall[pool[best].Hall]) {
-				best = place
-			}
-		}
-		if best >= 0 {
-			duty.wanted[pool[best].Name] = to
-			perHall[pool[best].Hall] += change
-			have += change
-		}
-	}
-	for count := len(idle); count > 0 && have < readers; count-- {
-		move(contract.Decode, contract.Prefill, idle, 1)
-	}
-	if have < readers {
-		move(contract.Decode, contract.Prefill, live, 1)
-	}
-	if have > readers {
-		move(contract.Prefill, contract.Decode, live, -1)
-	}
-}
-
 func (duty *duty) sign(parent context.Context, drawn contract.Contract) {
 	bounded, cancel := context.WithTimeout(parent, schedule.Second.Duration())
 	defer cancel()
--- a/internal/core/duty_test.go
+++ b/internal/core/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -112,3 +113,34 @@
 		}
 	})
 }
+
+// Whatever parts twelve engines in three halls have had, and whichever of them have
+// returned, no hall ends with all the readers or all the token makers.
+func TestNoHallHasAllOfAPart(test *testing.T) {
+	for bits := range 1 << 9 {
+		duty := &duty{wanted: map[string]string{}}
+		var live []*soft
+		readers := 0
+		for number := range 9 {
+			each := &soft{}
+			each.Name, each.Hall = fmt.Sprint("e", number), fmt.Sprint("h", number/3)
+			duty.wanted[each.Name] = contract.Decode
+			if bits>>number&1 > 0 {
+				duty.wanted[each.Name] = contract.Prefill
+				readers++
+			}
+			live = append(live, each)
+		}
+		readers = min(max(readers, 2), 7)
+		moves := 0
+		for range 20 {
+			before := maps.Clone(duty.wanted)
+			if duty.spread(live, readers); !maps.Equal(before, duty.wanted) {
+				moves++
+			}
+		}
+		if duty.alone(live, contract.Prefill) || duty.alone(live, contract.Decode) || moves > 4 {
+			test.Fatalf("bits %09b: %d moves, %v", bits, moves, duty.wanted)
+		}
+	}
+}
