Stop shunning an engine that answers after all

Cause: a try that stalled has its engine shunned for a second; when that was the only reader left (two halls evacuated), one router had no engine, though the slow answer had come.

--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -264,6 +264,8 @@
 			held.prefixes[experience.Prefix] = true
 		}
 		if experience.Running > 0 {
+			// It answers, so it was slow and not silent.
+			held.shunned = 0
 			held.others, held.sampled = max(experience.Running-held.own, 0), experience.Now
 		}
 		if experience.Full {
--- a/internal/catalogue/table_test.go
+++ b/internal/catalogue/table_test.go
@@ -128,6 +128,25 @@
 	})
 }
 
+func TestAnEngineThatAnswersIsNotShunnedAnyLonger(test *testing.T) {
+	Convey("a slow answer ends the shunning of a stalled engine, a mishap does not", test, func() {
+		now := 100 * schedule.Second
+		found := table(now, 60*schedule.Second)
+		for _, answered := range []int{0, 3} {
+			pick, _ := found.Choose(now, want("h0"))
+			So(pick, ShouldNotBeNil)
+			found.Shun("e0", now)
+			none, fit := found.Choose(now, want("h0"))
+			So(none, ShouldBeNil)
+			So(fit, ShouldBeFalse)
+			pick.Done(catalogue.Experience{Now: now, Running: answered, Mishap: answered == 0})
+			_, fit = found.Choose(now, want("h0"))
+			So(fit, ShouldEqual, answered > 0)
+			now += 2 * schedule.Second
+		}
+	})
+}
+
 func TestThePaceOfTheLineIsForgotten(test *testing.T) {
 	Convey("a wait is told from those who wait now and the last turns, and lapses", test, func() {
 		now := 100 * schedule.Second
