--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -31,6 +31,7 @@
 	Long     float64 `long:"long-rate" description:"long requests a second" default:"30"`
 	Short    float64 `long:"short-rate" description:"short requests a second" default:"36"`
 	Seed     uint64  `long:"seed" description:"seed of the load" default:"1"`
+	Doubled  int     `long:"doubled" description:"of a hundred one-shot requests, how many are sent to two routers at once" default:"10"`
 	Document string  `long:"configuration" description:"CUE document to apply" default:"examples/asociacion.cue"`
 	Keep     bool    `long:"keep" description:"keep the folder with logs and data"`
 }
@@ -89,6 +90,7 @@
 	run, failure := load.New(load.Settings{
 		Cores: crowd.corePub, Routers: crowd.routPub, Tenant: "asociacion", Long: "waiver", Short: "reply",
 		LongRate: processes.Long, ShortRate: processes.Short, Seconds: processes.Seconds, Seed: processes.Seed,
+		Doubled: processes.Doubled, Again: 5 * processes.Doubled,
 	}, circuit.System)
 	if failure != nil {
 		return failure
