Keep a core up while its disk refuses, and open whatever a loss of power leaves

A failed sync of an earlier life, a leftover of a rewrite under a name of its own and half a note in the diary of claims were taken for durable. Damage in the middle ended the daemon too.

A start on a full disk, or without any file, stays up. The diary cuts half a note off, or is written anew.

--- a/internal/claim/diary.go
+++ b/internal/claim/diary.go
@@ -1,6 +1,9 @@
 package claim
 
 import (
+	"errors"
+	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,31 +27,43 @@
 
 // Diary is a seat's second memory of its claims. It is written before a claim is
 // answered but not synced: it survives a killed process, not a lost machine. A seat
-// never counts as knowing all claims because of it.
+// never counts as knowing all claims because of it. On a disk that refuses writes it is
+// behind, and is written anew once the disk takes them.
 type Diary struct {
+	files   journal.Files
 	path    string
 	lock    sync.Mutex
-	file    *os.File
+	file    journal.File
 	length  int64
 	floor   int64
 	earlier []journal.Record
 }
 
-// OpenDiary reads what earlier lives wrote, and cuts a torn end.
-func OpenDiary(folder string) (*Diary, error) {
-	diary := &Diary{path: filepath.Join(folder, diaryName)}
-	file, failure := os.OpenFile(diary.path, os.O_RDWR|os.O_CREATE, 0o644)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.JournalWrite, "claims")
+// OpenDiary reads what earlier lives wrote, and cuts a torn end. Where the disk refuses,
+// the diary has what could be read.
+func OpenDiary(files journal.Files, folder string) *Diary {
+	diary := &Diary{files: files, path: filepath.Join(folder, diaryName)}
+	file, err := files.Open(diary.path, os.O_RDWR|os.O_CREATE)
+	if err != nil {
+		return diary
 	}
-	diary.file = file
 	diary.length = journal.ReadFrames(file, func(record journal.Record) { diary.earlier = append(diary.earlier, record) })
-	diary.floor = diary.length
-	if failure := file.Truncate(diary.length); failure != nil {
-		return nil, mishap.Wrap(failure, mishap.JournalWrite, "claims")
+	diary.file, diary.floor = file, diary.length
+	diary.cut()
+	return diary
+}
+
+// cut drops what stands behind the last whole frame. A file that can't be cut is not
+// appended to any more: what came after half a frame would never be read.
+func (diary *Diary) cut() {
+	err := diary.file.Truncate(diary.length)
+	if err == nil {
+		_, err = diary.file.Seek(diary.length, io.SeekStart)
+	}
+	if err != nil {
+		diary.file.Close()
+		diary.file = nil
 	}
-	_, failure = file.Seek(diary.length, 0)
-	return diary, mishap.Wrap(failure, mishap.JournalWrite, "claims")
 }
 
 // Recall puts what earlier lives wrote of a part into a registry, as if it had just been
@@ -83,30 +98,57 @@
 	if len(records) == 0 {
 		return nil
 	}
-	buffer := journal.Frame(nil, records)
+	return diary.append(journal.Frame(nil, records))
+}
+
+func (diary *Diary) append(buffer []byte) error {
 	diary.lock.Lock()
 	defer diary.lock.Unlock()
+	if diary.file == nil {
+		return mishap.New(mishap.JournalWrite, "claims: to be written anew")
+	}
+	if _, err := diary.file.Write(buffer); err != nil {
+		diary.cut()
+		return mishap.Wrap(err, mishap.JournalWrite, "claims")
+	}
 	diary.length += int64(len(buffer))
-	_, failure := diary.file.Write(buffer)
-	return mishap.Wrap(failure, mishap.JournalWrite, "claims")
+	return nil
 }
 
-// Long tells whether the diary is due to be written anew.
-func (diary *Diary) Long() bool {
+// Due tells whether the diary is to be written anew.
+func (diary *Diary) Due() bool {
 	diary.lock.Lock()
 	defer diary.lock.Unlock()
-	return diary.length > diaryLength && diary.length > 2*diary.floor
+	return diary.file == nil || diary.length > diaryLength && diary.length > 2*diary.floor
 }
 
-// Rewrite replaces the diary by what the registries hold now.
+// Rewrite replaces the diary by what the registries hold now. A leftover is removed first
+// and never truncated: after a loss of power its name may stand beside the file's own.
 func (diary *Diary) Rewrite(now schedule.Microseconds, registries map[int]*Registry) error {
 	diary.lock.Lock()
 	defer diary.lock.Unlock()
-	file, failure := os.OpenFile(diary.path+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.JournalWrite, "claims")
+	fresh := diary.path + ".new"
+	if err := diary.files.Remove(fresh); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return mishap.Wrap(err, mishap.JournalWrite, "claims")
+	}
+	file, err := diary.files.Open(fresh, os.O_RDWR|os.O_CREATE|os.O_EXCL)
+	if err != nil {
+		return mishap.Wrap(err, mishap.JournalWrite, "claims")
+	}
+	length, err := writeRegistries(file, now, registries)
+	if err == nil {
+		err = diary.files.Rename(fresh, diary.path)
+	}
+	if err != nil {
+		err = errors.Join(err, file.Close(), diary.files.Remove(fresh))
+		return mishap.Wrap(err, mishap.JournalWrite, "claims")
 	}
-	length := int64(0)
+	diary.close()
+	diary.file, diary.length, diary.floor = file, length, length
+	return nil
+}
+
+func writeRegistries(file journal.File, now schedule.Microseconds, registries map[int]*Registry) (length int64, err error) {
 	for part, registry := range registries {
 		for index := range Shards {
 			var records []journal.Record
@@ -117,25 +159,25 @@
 				continue
 			}
 			buffer := journal.Frame(nil, records)
-			if _, failure := file.Write(buffer); failure != nil {
-				file.Close()
-				return mishap.Wrap(failure, mishap.JournalWrite, "claims")
+			if _, err := file.Write(buffer); err != nil {
+				return 0, err
 			}
 			length += int64(len(buffer))
 		}
 	}
-	if failure := os.Rename(diary.path+".new", diary.path); failure != nil {
-		file.Close()
-		return mishap.Wrap(failure, mishap.JournalWrite, "claims")
-	}
-	diary.file.Close()
-	diary.file, diary.length, diary.floor = file, length, length
-	return nil
+	return length, nil
 }
 
 // Close ends the writing.
 func (diary *Diary) Close() {
 	diary.lock.Lock()
 	defer diary.lock.Unlock()
-	diary.file.Close()
+	diary.close()
+}
+
+func (diary *Diary) close() {
+	if diary.file != nil {
+		diary.file.Close()
+		diary.file = nil
+	}
 }
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -141,7 +141,7 @@
 // rebuild has seats that have forgotten their claims copy them from the other seats.
 func (core *Core) rebuild(context context.Context) {
 	schedule.Every(context, rebuildSpan, func() {
-		if core.diary.Long() {
+		if core.diary.Due() {
 			core.rewriteDiary()
 		}
 		for _, shard := range core.shards[1:] {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,6 +66,9 @@
 	return nil
 }
 
+// reserved is the least disk space that is kept free for rewriting the journal.
+const reserved = 1 << 20
+
 // Core is one control daemon.
 type Core struct {
 	Settings
@@ -102,17 +105,14 @@
 	if failure := settings.Check(); failure != nil {
 		return nil, failure
 	}
-	disk, failure := journal.Open(settings.Data, int64(settings.Rewrite)<<20)
+	device, _ := network.(journal.Device)
+	disk, failure := journal.Open(journal.Options{Folder: settings.Data, Rewrite: int64(settings.Rewrite) << 20, Reserve: reserved, Device: device})
 	if failure != nil {
 		return nil, failure
 	}
-	diary, failure := claim.OpenDiary(settings.Data)
-	if failure != nil {
-		return nil, failure
-	}
-	if device, simulated := network.(journal.Device); simulated {
-		disk.Device = device
-	}
+	diary := claim.OpenDiary(journal.OperatingSystem{}, settings.Data)
+	// A damaged journal was answered for, so this is no first start.
+	settings.First = settings.First && !disk.Lost()
 	core := &Core{
 		Settings: settings,
 		Machine: machine.Machine{
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -107,6 +107,7 @@
 		"journal-rewrites": core.journal.Rewrites.Load(), "journal-cut": core.journal.Cut.Load(), "journal-waiting": int64(core.journal.Waiting()),
 		"news-taken": core.gossip.Taken.Load(), "news-known": core.gossip.Known.Load(), "news-passed": core.gossip.Passed.Load(), "news-mended": core.gossip.Mended.Load(), "news-stepped": core.gossip.Stepped.Load(), "news-based": core.gossip.Based.Load(),
 	}
+	counters["journal-failures"], counters["journal-dropped"], counters["journal-damaged"] = core.journal.Failures.Load(), core.journal.Dropped.Load(), core.journal.Damaged.Load()
 	counters["diary-mishaps"] = core.DiaryMishaps.Load()
 	for _, shard := range core.shards[1:] {
 		if claims := shard.claims.Load(); claims != nil {
--- a/internal/simulation/ailments.go
+++ b/internal/simulation/ailments.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"syscall"
 	"time"
 
 	"coursepass/internal/mishap"
@@ -89,7 +90,7 @@
 	ailing, kills := *port.disk(port.Machine), port.kills[port.Machine]
 	port.lock.Unlock()
 	if ailing.full {
-		return mishap.New(mishap.JournalWrite, "no space left on %s", port.Machine)
+		return mishap.Wrap(syscall.ENOSPC, mishap.JournalWrite, port.Machine)
 	}
 	time.Sleep(ailing.slow.Duration())
 	for {
