Take a retry token before each arrival that an engine may have seen past the first

Cause: a first prompt read of unknown fate (reset, garbled or silent) led on to another engine whether or not the retry budget had a token: `spare` was tried, and its failure ignored. A read that the engine had not taken up counts as an arrival, and so the run after it was one past the first. A read that was repeated for one token could likewise be followed by a run that needed a second.

Change: `arrivals` is the account of one request: reads and runs that may have arrived, less the first read that was answered, against the tokens taken. `pay` tops the tokens up before each read and run and before the watch of silent engines gives a try up; without a token the request ends at once, as not run if that is proved and as unknown else.

The check "a reader that falls silent costs no attempt" asserted exactly the unpaid second arrival. It is replaced by two: with a token the answer is made elsewhere, without one the request ends at once as not run.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -98,7 +98,11 @@
 }
 
 func made(driver port.Driver, tries int, resume bool, parts ...string) *carrier.Carrier {
-	clock := schedule.NewClockOf(func() schedule.Microseconds { return schedule.Second })
+	return madeOn(schedule.NewClockOf(func() schedule.Microseconds { return schedule.Second }), driver, tries, resume, parts...)
+}
+
+// madeOn makes a carrier on a clock.
+func madeOn(clock *schedule.Clock, driver port.Driver, tries int, resume bool, parts ...string) *carrier.Carrier {
 	carrying := carrier.New(carrier.Terms{Terms: pool.Terms{Router: "r", Hall: "norte"}, RepeatShare: 0.2, RepeatExtra: 60}, clock, driver)
 	carrying.Configure(configuration.View{Book: route.Book{
 		Routes: map[string]route.Route{"flag": {
@@ -244,14 +248,24 @@
 		So(len(driver.tries), ShouldEqual, 2)
 		So(driver.tries[1].Source, ShouldBeEmpty)
 	})
-	Convey("a reader that falls silent costs no attempt: the answer is made by an engine that reads by itself", test, func() {
+	Convey("a reader that falls silent costs no attempt but a token: the answer is made by an engine that reads by itself", test, func() {
 		driver := &played{read: port.Unknown, acts: []act{{outcome: port.Answered, status: 200, body: "id: 1\n\n"}}}
-		_, whole := carry(made(driver, 1, false, contract.Prefill, contract.Decode), long())
+		carrying := made(driver, 1, false, contract.Prefill, contract.Decode)
+		earn(carrying, 19, oneRoute(1, false))
+		_, whole := carry(carrying, long())
 		So(whole, ShouldBeTrue)
 		So(len(driver.reads), ShouldEqual, 1)
 		So(len(driver.tries), ShouldEqual, 1)
 		So(driver.tries[0].Source, ShouldBeEmpty)
 	})
+	Convey("without a token it ends at once as not run, since the silent reader may have counted as an arrival", test, func() {
+		driver := &played{read: port.Unknown}
+		caller, _ := carry(made(driver, 1, false, contract.Prefill, contract.Decode), long())
+		So(len(driver.reads), ShouldEqual, 1)
+		So(len(driver.tries), ShouldEqual, 0)
+		So(caller.code.Status(), ShouldEqual, 503)
+		So(caller.retry, ShouldBeGreaterThan, schedule.Microseconds(0))
+	})
 	Convey("with more tries and a repeat to spend it is read once more elsewhere, and no third time", test, func() {
 		driver := &played{read: port.Unknown, acts: []act{{outcome: port.Answered, status: 200, body: "id: 1\n\n"}}}
 		carrying := made(driver, 2, true, contract.Prefill, contract.Prefill, contract.Prefill, contract.Decode)
--- a/internal/carrier/watch.go
+++ b/internal/carrier/watch.go
@@ -13,9 +13,9 @@
 	lookEvery = 100 * schedule.Millisecond
 )
 
-// watch ends a try whose engine has gone silent, if the request may go elsewhere then; free
-// says that this costs no repeat.
-func (way *way) watch(bounded context.Context, life string, may, free bool) (context.Context, func()) {
+// watch ends a try whose engine has gone silent, if the request may go elsewhere then and the
+// token for that is taken.
+func (way *way) watch(bounded context.Context, life string, may bool) (context.Context, func()) {
 	watched, cancel := context.WithCancel(bounded)
 	if !may || way.attempts >= way.route.Tries {
 		return watched, cancel
@@ -25,7 +25,7 @@
 		if watched.Err() != nil {
 			return
 		}
-		if way.pool.Silent(way.now(), life) && (free || way.carrier.repeats.Left()) {
+		if way.pool.Silent(way.now(), life) && way.arrivals.pay(way.carrier.repeats.Take) {
 			way.carrier.Silent.Add(1)
 			cancel()
 			return
--- a/internal/carrier/way.go
+++ b/internal/carrier/way.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"coursepass/internal/mishap"
@@ -25,11 +24,13 @@
 	begun   schedule.Microseconds
 	until   schedule.Microseconds
 	avoid   map[string]bool
-	// reads counts the calls that only read the prompt; the first that is taken up is free.
+	// reads counts the calls that only read the prompt.
 	reads    int
 	attempts int
-	// spare says that one more reading is paid for.
-	spare bool
+	// arrivals is what engines may have seen of the request, and what is paid for it.
+	arrivals arrivals
+	// reread says that the prompt may be read at a second engine.
+	reread bool
 	// headed says that the caller has the head of an answer, last the last event it has.
 	headed bool
 	last   string
@@ -58,6 +59,8 @@
 	broken
 	// over: the caller left or the time is up.
 	over
+	// unpaid: the retry budget has no token for one more arrival at an engine.
+	unpaid
 )
 
 func (way *way) run(bounded context.Context) bool {
@@ -100,6 +103,8 @@
 			}
 			way.step(Resuming)
 			way.carrier.Resumed.Add(1)
+		case unpaid:
+			return way.decline(mishap.NoEngine, comeBackSoon)
 		case over:
 			way.carrier.Left.Add(1)
 			return way.ended(bounded)
@@ -146,7 +151,7 @@
 	}
 	wish.Shut = way.carrier.board.Shut(way.now(), way.until, way.route.Kind == route.Stream && way.route.Resume, name)
 	// A prompt that is read elsewhere counts as an attempt if it is turned away.
-	wish.Whole = way.reads > 0 && !(way.spare && way.reads == 1) || len(way.call.Prompt) == 0
+	wish.Whole = way.reads > 0 && !way.reread || len(way.call.Prompt) == 0
 	return wish
 }
 
@@ -155,7 +160,13 @@
 	if way.attempts >= max(way.route.Tries, 1) || way.now() >= way.until {
 		return false
 	}
-	if !way.carrier.repeats.Take() {
+	return way.pay()
+}
+
+// pay takes the tokens of the retry budget that one more arrival at an engine needs. Nothing
+// is sent without it.
+func (way *way) pay() bool {
+	if !way.arrivals.pay(way.carrier.repeats.Take) {
 		way.carrier.RepeatsSpent.Add(1)
 		return false
 	}
@@ -201,171 +212,6 @@
 	return made
 }
 
-// attempt sends the request along a choice.
-func (way *way) attempt(bounded context.Context, choice pool.Choice) verdict {
-	way.step(relay.Matched)
-	made := way.try(choice.Writer)
-	if choice.Split {
-		way.step(relay.Prefilling)
-		if !way.pool.Admit(way.now(), choice.Reader.Life) {
-			way.back(way.headed)
-			return anew
-		}
-		ticket, outcome := way.read(bounded, choice)
-		if outcome != port.Answered {
-			way.back(way.headed)
-			if bounded.Err() != nil {
-				return over
-			}
-			if outcome == port.Unsent {
-				way.reads--
-				return anew
-			}
-			if outcome == port.Unknown && way.reads == 1 {
-				way.spare = way.route.Tries > 1 && way.carrier.repeats.Take()
-				return anew
-			}
-			return again
-		}
-		way.step(relay.HandedOver)
-		made.Source, made.Weights = choice.Reader.Address+"/"+ticket.Name, ticket.Weights
-	}
-	// Its region may have been shut while the prompt was read elsewhere.
-	shut := way.carrier.board.Begun(way.now(), way.carrier.Regions.Of(choice.Writer.Hall))
-	if shut || !way.pool.Admit(way.now(), made.Life) {
-		if !choice.Split {
-			way.back(way.headed)
-			return anew
-		}
-		other, found := way.pool.Maker(way.now(), way.wish(), choice.Reader.Life)
-		if !found || !way.pool.Admit(way.now(), other.Life) {
-			way.free(choice.Reader.Address, made.Source)
-			way.back(way.headed)
-			return again
-		}
-		choice.Writer, made.Address, made.Life = other, other.Address, other.Life
-	}
-	way.step(relay.Decoding)
-	return way.make(bounded, choice, made)
-}
-
-// read has the reader read the prompt. It does not run the request, whatever becomes of it.
-func (way *way) read(bounded context.Context, choice pool.Choice) (port.Ticket, port.Outcome) {
-	reader, began := choice.Reader, way.now()
-	way.pool.Reading(reader.Life, choice.Unread)
-	way.reads++
-	watched, done := way.watch(bounded, reader.Life, true, way.reads == 1)
-	ticket, outcome, _ := way.carrier.driver.Read(watched, way.try(reader))
-	silent := watched.Err() != nil
-	done()
-	way.pool.Done(reader.Life)
-	now := way.now()
-	took := schedule.Microseconds(0)
-	if outcome == port.Answered {
-		took = now - began
-		way.pool.Heard(now, reader.Life, ticket.Load)
-	}
-	way.pool.Read(now, reader.Life, way.call.Prompt, choice.Unread, took, choice.Sure)
-	// The first reading that an engine takes up is no attempt; one that is turned away is.
-	if outcome != port.Unsent && (way.reads > 1 || outcome == port.Unstarted || outcome == port.Elsewhere) {
-		way.attempts++
-	}
-	if outcome == port.Answered {
-		return ticket, outcome
-	}
-	way.avoid[reader.Life] = true
-	way.blame(now, reader.Life, outcome, true, silent, bounded)
-	return ticket, outcome
-}
-
-func (way *way) blame(now schedule.Microseconds, life string, outcome port.Outcome, busy, silent bool, bounded context.Context) {
-	switch {
-	case bounded.Err() != nil:
-	case outcome == port.Elsewhere:
-		way.pool.Wrong(now, life)
-	case outcome == port.Unstarted && busy:
-		way.pool.Declined(now, life)
-	default:
-		way.fail(now, life, silent)
-	}
-}
-
-// fail notes that an engine broke off, was silent or could not be reached. Others are told
-// but for silence, which may be no more than a long queue.
-func (way *way) fail(now schedule.Microseconds, life string, silent bool) {
-	way.carrier.Mishaps.Add(1)
-	way.pool.Fail(now, life)
-	if way.carrier.Tell != nil && !silent {
-		way.carrier.Tell(way.service, life)
-	}
-}
-
-// make has the writer make the answer, and passes it on.
-func (way *way) make(bounded context.Context, choice pool.Choice, made port.Try) verdict {
-	writer := choice.Writer
-	if choice.Split {
-		way.carrier.Split.Add(1)
-		way.pool.Making(0, way.call.Tokens)
-	} else {
-		way.carrier.Whole.Add(1)
-		way.pool.Making(choice.Unread, way.call.Tokens)
-	}
-	way.attempts++
-	began := way.now()
-	way.pool.Running(began, writer.Life, way.call.Prompt, 1)
-	ended := sync.OnceFunc(func() {
-		way.pool.Running(way.now(), writer.Life, nil, -1)
-		way.pool.Done(writer.Life)
-	})
-	defer ended()
-	reads := 0
-	if !choice.Split {
-		reads = choice.Unread
-	}
-	way.pool.Reading(writer.Life, reads)
-	way.Leave()
-	watched, done := way.watch(bounded, writer.Life, way.route.MayRepeat(), false)
-	defer done()
-	answer, outcome, _ := way.carrier.driver.Run(watched, made)
-	now := way.now()
-	way.pool.Reading(writer.Life, -reads)
-	if outcome == port.Answered {
-		way.pool.Heard(now, writer.Life, answer.Load)
-	}
-	if outcome != port.Answered {
-		if choice.Split && outcome != port.Unknown {
-			way.free(choice.Reader.Address, made.Source)
-		}
-		way.avoid[writer.Life] = true
-		way.blame(now, writer.Life, outcome, answer.Busy, watched.Err() != nil, bounded)
-		if outcome == port.Unknown {
-			way.step(relay.Unknown)
-			if bounded.Err() != nil {
-				return over
-			}
-			return way.missed()
-		}
-		way.Prove()
-		way.back(way.headed)
-		way.carrier.Unstarted.Add(1)
-		if bounded.Err() != nil {
-			return over
-		}
-		if outcome == port.Unsent {
-			// An engine that could not be reached was not sent to.
-			way.attempts--
-			return anew
-		}
-		return again
-	}
-	defer answer.Body.Close()
-	return way.pass(bounded, writer, answer, func() {
-		done()
-		answer.Body.Close()
-		ended()
-	})
-}
-
 // missed is a try whose fate is not known.
 func (way *way) missed() verdict {
 	if way.headed {
