--- a/internal/configuration/routing.go
+++ b/internal/configuration/routing.go
@@ -20,9 +20,6 @@
 	ServiceList = "services"
 )
 
-// labels is how many labels are remembered to tell a repetition.
-const labels = 256
-
 // Item is something named, with the text in which the operator sent it.
 type Item struct {
 	Name string
@@ -147,7 +144,7 @@
 	if failure := routing.check(); failure != nil {
 		return declined(failure)
 	}
-	if digest, known := state.Taken[routing.Label]; known && digest == routing.Digest && digest != "" {
+	if state.Accepted.contains(routing) {
 		return Outcome{Sequence: state.Sequence}
 	}
 	if routing.On != state.Label {
@@ -165,19 +162,7 @@
 		return declined(failure)
 	}
 	state.Label, state.Book, state.Items, state.Others = made.Label, made.Book, made.Items, made.Others
-	state.take(routing)
+	state.Accepted = state.Accepted.with(routing.Label, routing.Digest)
 	state.Sequence++
 	return Outcome{Sequence: state.Sequence}
 }
-
-func (state *State) take(routing *Routing) {
-	if state.Taken == nil {
-		state.Taken = map[uint64]string{}
-	}
-	state.Taken[routing.Label] = routing.Digest
-	state.Labels = append(slices.Clone(state.Labels), routing.Label)
-	if len(state.Labels) > labels {
-		delete(state.Taken, state.Labels[0])
-		state.Labels = state.Labels[1:]
-	}
-}
--- a/internal/configuration/routing_test.go
+++ b/internal/configuration/routing_test.go
@@ -172,19 +172,24 @@
 }
 
 func TestARepetitionIsToldAsTaken(test *testing.T) {
-	Convey("after later configurations and a restart, as long as it is remembered", test, func() {
+	Convey("after hundreds of later configurations and a restart", test, func() {
 		state := configuration.NewState()
 		label := uint64(0)
-		for range 300 {
-			So(applied(state, whole(label+2, label, "a")).Code, ShouldEqual, mishap.Fine)
+		const changes = 600
+		for range changes {
+			outcome := applied(state, whole(label+2, label, "a"))
+			if outcome.Code != mishap.Fine {
+				test.Fatalf("label %d: %+v", label+2, outcome)
+			}
 			label += 2
 		}
 		restored := configuration.NewState()
 		restored.Restore(state.Snapshot())
 		before := restored.View()
 		So(applied(restored, whole(label, label-2, "a")).Code, ShouldEqual, mishap.Fine)
-		So(applied(restored, whole(label-2*255, label-2*256, "a")).Code, ShouldEqual, mishap.Fine)
-		So(applied(restored, whole(label-2*256, label-2*257, "a")).Code, ShouldEqual, mishap.SequenceStale)
+		So(applied(restored, whole(2, 0, "a")).Code, ShouldEqual, mishap.Fine)
+		So(applied(restored, whole(label-2*300, label-2*301, "a")).Code, ShouldEqual, mishap.Fine)
+		So(applied(restored, whole(label-2*300, label-2*300-1, "a")).Code, ShouldEqual, mishap.SequenceStale)
 		So(applied(restored, whole(label-2, label-4, "b")).Code, ShouldEqual, mishap.SequenceStale)
 		So(restored.View(), ShouldResemble, before)
 	})
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -126,10 +126,8 @@
 	return mishap.New(mishap.SequenceStale, "built on sequence %d, but %d is in force", expected, present)
 }
 
-const (
-	remembered = 1024
-	turns      = 3
-)
+// turns is how many documents back an operator can turn.
+const turns = 3
 
 // Document is a document with the changes made to it.
 type Document struct {
@@ -140,13 +138,15 @@
 
 type memory struct {
 	View
+	// Format tells apart what builds have written.
+	Format int
 	// Before are the last documents that were in force, newest last.
-	Before   []Document
-	Outcomes map[string]Outcome
-	Order    []string
-	// Taken are the digests of the last labels that were put in force, Labels their order.
-	Taken  map[uint64]string
-	Labels []uint64
+	Before []Document
+	// Accepted are the orders by routes that were put in force, by label. Keyed are
+	// operations with a key that took effect, by sequence; Refused the last that did not.
+	Accepted acceptedOrders
+	Keyed    acceptedOrders
+	Refused  []Refusal
 }
 
 // State is what the log of part 0 builds.
@@ -155,25 +155,22 @@
 }
 
 // NewState is the state before any configuration.
-func NewState() *State { return &State{memory{Outcomes: map[string]Outcome{}}} }
+func NewState() *State { return &State{} }
 
 // View is a copy of what is in force.
 func (state *State) View() View { return state.memory.View }
 
-// Outcome finds what became of an operation.
-func (state *State) Outcome(key string) (Outcome, bool) {
-	outcome, known := state.Outcomes[key]
-	return outcome, known
-}
+// Expands tells whether a document has to be evaluated before the operation is proposed.
+func (request Request) Expands() bool { return request.Kind == Whole || request.Kind == Small }
 
 // Apply puts one operation in force, or declines it if another came first. An
-// operation's key takes effect once.
+// operation's key takes effect once; an order by routes is told from others by its label.
 func (state *State) Apply(data []byte) []byte {
 	var operation Operation
 	if failure := gob.NewDecoder(bytes.NewReader(data)).Decode(&operation); failure != nil {
 		return Encode(Outcome{Code: mishap.Garbage, Sequence: state.Sequence, Text: failure.Error()})
 	}
-	outcome, known := state.Outcomes[operation.Key]
+	outcome, known := state.Outcome(operation.Key)
 	if !known {
 		outcome = state.enact(operation)
 		state.remember(operation.Key, outcome)
@@ -233,26 +230,24 @@
 	}
 }
 
-func (state *State) remember(key string, outcome Outcome) {
-	state.Outcomes[key] = outcome
-	state.Order = append(state.Order, key)
-	if len(state.Order) > remembered {
-		delete(state.Outcomes, state.Order[0])
-		state.Order = slices.Clone(state.Order[1:])
-	}
-}
-
 // Number is the state's own sequence.
 func (state *State) Number() uint64 { return state.Sequence }
 
 // Snapshot is the whole state.
-func (state *State) Snapshot() []byte { return Encode(state.memory) }
+func (state *State) Snapshot() []byte {
+	state.Format = snapshotFormat
+	return Encode(state.memory)
+}
 
-// Restore takes the whole state.
+// Restore takes the whole state, also one that an earlier build wrote.
 func (state *State) Restore(snapshot []byte) {
-	fresh := memory{Outcomes: map[string]Outcome{}}
-	if gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&fresh) == nil {
-		state.memory = fresh
+	var fresh memory
+	if gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&fresh) != nil {
+		return
+	}
+	state.memory = fresh
+	if fresh.Format == 0 {
+		state.readEarlier(snapshot)
 	}
 }
 
--- a/internal/core/door_test.go
+++ b/internal/core/door_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 
@@ -70,6 +71,25 @@
 			So(view.Label, ShouldEqual, 5)
 			So(view.Items["services"], ShouldResemble, []configuration.Item{{Name: "s", Text: `{"name":"s"}`}})
 		}
+		for _, each := range cores {
+			each.configuring <- struct{}{}
+		}
+		codes := make([]mishap.Code, 8)
+		var orders sync.WaitGroup
+		for number := range codes {
+			orders.Go(func() {
+				outcome, failure := cores[number%3].Configure(context.Background(), doorRequest(uint64(6+number), 5, 1500+number))
+				if codes[number] = outcome.Code; failure != nil {
+					codes[number] = mishap.CodeOf(failure, mishap.OutcomeUnknown)
+				}
+			})
+		}
+		orders.Wait()
+		slices.Sort(codes)
+		So(codes[0], ShouldEqual, mishap.Fine)
+		for _, code := range codes[1:] {
+			So(code, ShouldEqual, mishap.SequenceStale)
+		}
 		stops[0]()
 		stops[1]()
 		for call := range 4 {
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 
 	"coursepass/internal/configuration"
 	"coursepass/internal/notice"
@@ -30,7 +29,7 @@
 				continue
 			}
 			noted := notice.Notice{Region: each.Region, Sequence: each.Sequence, Phase: phase}
-			operation := configuration.Operation{Request: configuration.Request{Kind: configuration.NoticePhase, Key: rand.Text(), Notice: noted}}
+			operation := configuration.Operation{Request: configuration.Request{Kind: configuration.NoticePhase, Notice: noted}}
 			bounded, cancel := context.WithTimeout(running, schedule.Second.Duration())
 			_, _ = core.shards[0].propose(bounded, func() ([]byte, error) { return configuration.Encode(operation), nil })
 			cancel()
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -135,11 +135,10 @@
 }
 
 func (core *Core) configure(context context.Context, shard *shard, request configuration.Request) (configuration.Outcome, error) {
-	// One request at a time, but for those that need no expansion and can't lose a race:
-	// whoever comes second then sees the first one's sequence,
-	// and is declined without a costly expansion.
+	// One expansion at a time: whoever comes second then sees the first one's sequence, and
+	// is declined without one. All others are judged by the log alone, and wait for nobody.
 	free := func() {}
-	if !request.Commutes() {
+	if request.Expands() {
 		select {
 		case core.configuring <- struct{}{}:
 			free = sync.OnceFunc(func() { <-core.configuring })
