--- a/cmd/coursepass-trial/main.go
+++ b/cmd/coursepass-trial/main.go
@@ -17,6 +17,7 @@
 	Simulate  trial.Simulate  `command:"simulate" description:"run many seeds of mixed failures in the simulator"`
 	Rollout   trial.Rollout   `command:"rollout" description:"storm the configuration of a fleet of real processes and measure when it is in force"`
 	Processes trial.Processes `command:"processes" description:"run a load over real processes and cause a failure in it"`
+	Explore   trial.Explore   `command:"explore" description:"search the states of a small group of control daemons"`
 }
 
 func main() {
@@ -29,7 +30,7 @@
 		return
 	}
 	if failure == nil {
-		failure = map[string]interface{ Run() error }{"simulate": &all.Simulate, "processes": &all.Processes, "rollout": &all.Rollout}[parser.Active.Name].Run()
+		failure = map[string]interface{ Run() error }{"simulate": &all.Simulate, "processes": &all.Processes, "rollout": &all.Rollout, "explore": &all.Explore}[parser.Active.Name].Run()
 	}
 	if failure != nil {
 		fmt.Fprintln(os.Stderr, mishap.Text(failure))
--- /dev/null
+++ b/internal/explore/scene.go
@@ -0,0 +1,43 @@
+package explore
+
+import "fmt"
+
+// Scene is where a search begins: a path that brings the group there.
+type Scene struct {
+	Name string
+	Path string
+}
+
+// Scenes are the starts of the standard searches. Daemon 0 leads round 0 of a calm
+// group; the newcomer's number is that of the members.
+func Scenes(members int) []Scene {
+	return []Scene{
+		{"founding", ""},
+		{"led", "calm:0:24"},
+		{"order under way", "calm:0:24 order:0:0:1:0:a"},
+		{"leader crashed", "calm:0:24 order:0:0:1:0:a crash:0:0 restart:0:0"},
+		{"leader cut off", "calm:0:24 isolate:0:0 order:0:0:1:0:a calm:0:12"},
+		{"leader hears nobody", "calm:0:24 isolate:0:1 calm:0:4"},
+		{"member wiped", "calm:0:24 order:0:0:1:0:a calm:0:1 crash:1:0 wipe:1:0 restart:1:0"},
+		{"seat vacated", fmt.Sprintf("calm:0:24 crash:2:0 calm:0:12 seek:%d:2 ask:%d:0", members, members)},
+		{"seat given", fmt.Sprintf("calm:0:24 order:0:0:1:0:a calm:0:1 crash:2:0 calm:0:12 seek:%d:2 ask:%d:0 calm:0:1 ask:%d:0", members, members, members)},
+		{"planned leave", fmt.Sprintf("calm:0:24 order:0:0:1:0:a calm:0:1 override:%d:1 ask:%d:0", members, members)},
+	}
+}
+
+// Begin brings a group to a scene, and gives back the budget of what follows.
+func (scene Scene) Begin(options *Options) (*World, error) {
+	events, err := ParseEvents(scene.Path)
+	if err != nil {
+		return nil, err
+	}
+	world := New(options)
+	world.left = Generous
+	for _, event := range events {
+		if !world.Apply(event) {
+			return nil, fmt.Errorf("scene %q: %s can't happen", scene.Name, event)
+		}
+	}
+	world.left = options.Budget
+	return world, nil
+}
