Have the exploration remember accepted orders itself

Cause: it read the state's own map of labels, which the compact memory of accepted orders replaced. Change: each version of the explored history notes what it put in force, so that the check of a refused order no longer rests on the code under test. Ruled out: leaving the check to acknowledged orders alone, which would miss an order that was taken without an answer.

--- a/internal/explore/replica.go
+++ b/internal/explore/replica.go
@@ -1,10 +1,13 @@
 package explore
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"sync"
 
 	"coursepass/internal/configuration"
+	"coursepass/internal/mishap"
 )
 
 // Order is one configuration by routes, as an operator sends it.
@@ -28,10 +31,12 @@
 // version is the configuration after one history of operations. The real state
 // machine made it; it is kept since many states of the search share it.
 type version struct {
-	lock      *sync.Mutex
-	before    *version
-	depth     int
-	answer    []byte
+	lock   *sync.Mutex
+	before *version
+	depth  int
+	answer []byte
+	// accepted is the content of the order that this version put in force, if it did.
+	accepted  string
 	state     *configuration.State
 	snapshot  []byte
 	after     map[string]*version
@@ -58,12 +63,36 @@
 	}
 	made.state.Restore(before.snapshot)
 	made.answer = made.state.Apply(operation)
+	made.accepted = acceptedBy(operation, made.answer)
 	made.snapshot = made.state.Snapshot()
 	made.snapshots[string(made.snapshot)] = made
 	before.after[string(operation)] = made
 	return made
 }
 
+// acceptedBy is the content of an order that was accepted, empty for all else.
+func acceptedBy(operation, answer []byte) string {
+	var asked configuration.Operation
+	var outcome configuration.Outcome
+	if gob.NewDecoder(bytes.NewReader(operation)).Decode(&asked) != nil || asked.Routing == nil {
+		return ""
+	}
+	if gob.NewDecoder(bytes.NewReader(answer)).Decode(&outcome) != nil || outcome.Code != mishap.Fine {
+		return ""
+	}
+	return Order{Label: asked.Routing.Label, On: asked.Routing.On, Digest: asked.Routing.Digest}.content()
+}
+
+// took tells whether this version or one before it put an order in force.
+func (present *version) took(order Order) bool {
+	for ; present != nil; present = present.before {
+		if present.accepted == order.content() {
+			return true
+		}
+	}
+	return false
+}
+
 // restored is the version with a snapshot.
 func (before *version) restored(snapshot []byte) *version {
 	before.lock.Lock()
