Have a candidate that no quorum answers give way, and an isolated slot keep its round

Cause: a candidate counted its own OKs, so that a leader which was cut off, or which others heard while it heard nobody, went on as leader; a slot that was alone counted its rounds up and unseated a leader that a majority followed when it came back.

Change: a candidate notes for each slot when the question was sent whose answer came. It speaks as leader for 4 delta after its last contact with a quorum, and gives way after 6 delta: no OK, no PONG, until a quorum answers again. A slot whose PINGs less than a quorum answers keeps its round, alerts nobody and sends PINGs only. Both are exceptions to the paper; with a quorum of 0 or 1 the machine is the paper's.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -32,11 +32,14 @@
 	Message
 }
 
-// Place says who a machine is among how many, and its δ.
+// Place says who a machine is among how many, and its δ. Quorum is how many slots, itself
+// included, must have answered a PING before a machine leaves its round, and must have
+// answered its OKs lately for it to stay a candidate; with 0 or 1 it is the paper's machine.
 type Place struct {
-	Slots int
-	Self  int
-	Delta schedule.Microseconds
+	Slots  int
+	Self   int
+	Quorum int
+	Delta  schedule.Microseconds
 }
 
 type alert struct {
@@ -61,6 +64,9 @@
 	asking    bool
 	askedAt   schedule.Microseconds
 	answered  map[int]bool
+	warned    bool
+	isolation *isolation
+	contact   contact
 	sends     []Send
 }
 
@@ -100,7 +106,7 @@
 func (machine *Machine) Hold(held bool) { machine.held = held }
 
 func (machine *Machine) mayLead(round uint64) bool {
-	return machine.Candidate(round) == machine.Self && !machine.held && !(machine.barred && round <= machine.bar)
+	return machine.Candidate(round) == machine.Self && !machine.held && !machine.contact.lost && !(machine.barred && round <= machine.bar)
 }
 
 func (machine *Machine) take() []Send {
@@ -127,7 +133,9 @@
 	machine.okays = 0
 	machine.hasBeaten = false
 	machine.asking = false
+	machine.isolation = nil
 	machine.restarted = now
+	machine.contact.begin(machine.Slots, now)
 }
 
 func (machine *Machine) hearAlert(round uint64, now schedule.Microseconds) {
@@ -198,19 +206,15 @@
 		case message.Round < machine.round:
 			machine.sends = append(machine.sends, Send{from, Message{START, machine.round}})
 		case message.Kind == OK:
+			machine.rejoin(now)
 			machine.hearOkay(now)
 		}
 	case ALERT:
 		machine.hearAlert(message.Round, now)
 	case PING:
-		if machine.held {
-			break
-		}
-		machine.sends = append(machine.sends, Send{from, Message{PONG, message.Round}})
+		machine.hearPing(from, message.Round)
 	case PONG:
-		if machine.asking && message.Round == machine.round {
-			machine.answered[from] = true
-		}
+		machine.hearPong(now, from, message.Round)
 	}
 	machine.step(now)
 	return machine.take()
@@ -224,19 +228,71 @@
 }
 
 func (machine *Machine) step(now schedule.Microseconds) {
+	machine.watchContact(now)
+	if machine.isolation != nil {
+		machine.seekQuorum(now)
+	}
 	switch {
 	case machine.asking && now-machine.askedAt >= 2*machine.Delta:
-		machine.startRound(machine.nextAnswered(), now)
+		machine.conclude(now)
 	case !machine.asking && (now-machine.restarted > 2*machine.Delta || machine.mute()):
-		machine.all(Message{ALERT, machine.round + 1})
-		machine.hearAlert(machine.round+1, now)
-		machine.all(Message{PING, machine.round})
-		machine.asking, machine.askedAt = true, now
-		machine.answered = map[int]bool{machine.Self: true}
+		machine.ask(now)
 	}
 	machine.beat(now)
 }
 
+// ask begins the ping step. A machine without a quorum's answers does not.
+func (machine *Machine) ask(now schedule.Microseconds) {
+	if machine.isolation != nil {
+		return
+	}
+	machine.asking, machine.askedAt, machine.warned = true, now, false
+	machine.answered = map[int]bool{machine.Self: true}
+	machine.leader = Nobody
+	machine.warn(now)
+	machine.all(Message{PING, machine.round})
+}
+
+// warn sends the ALERT of the ping step as soon as a quorum has answered the PING.
+func (machine *Machine) warn(now schedule.Microseconds) {
+	if machine.warned || len(machine.answered) < machine.Quorum {
+		return
+	}
+	machine.warned = true
+	machine.all(Message{ALERT, machine.round + 1})
+	machine.hearAlert(machine.round+1, now)
+}
+
+// conclude ends the ping step: with the next round whose candidate has answered, or in the
+// same round, isolated, if less than a quorum has answered.
+func (machine *Machine) conclude(now schedule.Microseconds) {
+	if len(machine.answered) >= machine.Quorum {
+		machine.startRound(machine.nextAnswered(), now)
+		return
+	}
+	machine.isolate(now)
+}
+
+func (machine *Machine) hearPing(from int, round uint64) {
+	switch {
+	case machine.Quorum > 1 && round < machine.round:
+		machine.sends = append(machine.sends, Send{from, Message{START, machine.round}})
+	case !machine.held && !machine.contact.lost:
+		machine.sends = append(machine.sends, Send{from, Message{PONG, round}})
+	}
+}
+
+func (machine *Machine) hearPong(now schedule.Microseconds, from int, round uint64) {
+	switch {
+	case round != machine.round:
+	case machine.isolation != nil:
+		machine.isolation.heard[from] = now
+	case machine.asking:
+		machine.answered[from] = true
+		machine.warn(now)
+	}
+}
+
 func (machine *Machine) mute() bool {
 	return machine.Candidate(machine.round) == machine.Self && !machine.mayLead(machine.round)
 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -135,11 +135,17 @@
 }
 
 func newElectorate(seed uint64, slots int, dead map[int]bool) *electorate {
+	return newElectorateOf(seed, election.Place{Slots: slots, Delta: delta}, dead)
+}
+
+func newElectorateOf(seed uint64, place election.Place, dead map[int]bool) *electorate {
+	slots := place.Slots
 	found := &electorate{Network: simulation.NewNetwork(simulation.NewWorld(seed), 1, delta), dead: dead}
 	found.machines = make([]*election.Machine, slots)
 	for self := range slots {
 		if !dead[self] {
-			machine, sends := election.Start(election.Place{Slots: slots, Self: self, Delta: delta}, found.Now(), 0, false)
+			place.Self = self
+			machine, sends := election.Start(place, found.Now(), 0, false)
 			found.machines[self] = machine
 			found.post(self, sends)
 			found.Every(delta/20, func() bool {
@@ -154,15 +160,30 @@
 }
 
 func (found *electorate) post(from int, sends []election.Send) {
+	asked := found.Now()
 	for _, send := range sends {
 		found.Send(from, send.To, func() {
-			if !found.dead[send.To] {
-				found.post(send.To, found.machines[send.To].Receive(found.Now(), from, send.Message))
+			if found.dead[send.To] {
+				return
 			}
+			found.post(send.To, found.machines[send.To].Receive(found.Now(), from, send.Message))
+			found.answer(send, from, asked)
 		})
 	}
 }
 
+// answer shows the sender of an OK that it has arrived, as the transport does.
+func (found *electorate) answer(send election.Send, to int, asked schedule.Microseconds) {
+	if send.Kind != election.OK {
+		return
+	}
+	found.Send(send.To, to, func() {
+		if !found.dead[to] {
+			found.machines[to].Answered(send.To, asked)
+		}
+	})
+}
+
 func (found *electorate) leader() (int, bool) {
 	leader := election.Nobody
 	for slot, machine := range found.machines {
@@ -206,11 +227,16 @@
 
 // 6-stability: a leader whose links were all good for 6δ is still leader a tick
 // later, whatever the others do.
-func TestSixStable(test *testing.T) {
+func TestSixStable(test *testing.T) { sixStable(test, election.Place{Slots: 5, Delta: delta}) }
+
+// The same with a quorum of three: its exceptions keep 6-stability.
+func TestSixStableWithAQuorum(test *testing.T) { sixStable(test, quorumOf(5)) }
+
+func sixStable(test *testing.T, place election.Place) {
 	const slots, tick = 5, delta / 10
 	kept := 0
 	for seed := range uint64(40) {
-		found := newElectorate(seed, slots, map[int]bool{})
+		found := newElectorateOf(seed, place, map[int]bool{})
 		accessible := make([]schedule.Microseconds, slots)
 		good := make([]bool, slots)
 		for step := range 1500 {
