Confirm reads and refusals by contact with a majority begun after the call

Cause: reads, refusals and heads came from what this core believed: whether it owned the part was asked of the election, never whether a majority had been heard lately; refusals that depend on the state were told from its own view; an errand was marked as forwarded once, but by two flags.

Change: the transport's answer to an OK or a Confirm carries an echo of the slot's promise. A read notes the commit index and is answered once a majority that was asked after the call came has shown no promise above this round (no log entry, no sync); a refusal is judged again if a confirmed view is later than the one it was judged by; what is proposed needs contact, too. Heads and status say owner and current only as long as the contact allows. Forwarded errands carry a hop count of two at most and never go back to whoever forwarded them; they end with the caller's deadline.

Ruled out: an empty entry for each read, as before (a sync for each); a local clock lease.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,7 +20,6 @@
 	"coursepass/internal/grant"
 	"coursepass/internal/hall"
 	"coursepass/internal/journal"
-	"coursepass/internal/link"
 	"coursepass/internal/machine"
 	"coursepass/internal/mishap"
 	"coursepass/internal/news"
@@ -176,6 +175,11 @@
 			senderCounters: &core.senderCounters, inner: core.inner, clock: core.clock, self: core.seat,
 			address: address, delta: core.DeltaSpan(), queue: make(chan outgoing, 256),
 		}
+		found.echoed = func(asked schedule.Microseconds, echo part.Echo) {
+			if echo.Part >= 0 && echo.Part < len(core.shards) {
+				core.shards[echo.Part].echoed(core.running, asked, address, echo)
+			}
+		}
 		core.senders[address] = found
 		go found.run(core.running)
 	}
@@ -241,14 +245,20 @@
 }
 
 func (core *Core) serveInner() {
-	circuit.Answer(core.inner, deliverPath, func(context context.Context, parcel *Parcel) (*link.Reading, error) {
+	circuit.Answer(core.inner, deliverPath, func(context context.Context, parcel *Parcel) (*Receipt, error) {
 		now := core.clock.Now()
-		reading := &link.Reading{Incarnation: core.Incarnation, Clock: now}
+		receipt := &Receipt{Incarnation: core.Incarnation, Clock: now}
 		age, judged := parcel.Age(now, core.Incarnation)
 		for _, message := range parcel.Messages {
-			switch {
-			case message.Part < 0 || message.Part >= len(core.shards):
+			if message.Part < 0 || message.Part >= len(core.shards) {
 				core.inner.Garbage.Add(1)
+				continue
+			}
+			if echo, seated := core.shards[message.Part].echo(); seated && message.Echoes() {
+				receipt.Echoes = append(receipt.Echoes, echo)
+			}
+			switch {
+			case message.Kind == part.Confirm:
 			case message.Kind == part.Elect && (!judged || age > core.DeltaSpan()):
 				core.Late.Add(1)
 			default:
@@ -257,7 +267,7 @@
 				core.shards[message.Part].receive(context, message)
 			}
 		}
-		return reading, nil
+		return receipt, nil
 	})
 	core.serveRouters()
 	core.serveErrands()
--- a/internal/core/heads.go
+++ b/internal/core/heads.go
@@ -130,7 +130,7 @@
 		answer := &HeadsAnswer{}
 		for _, shard := range core.shards {
 			found := PartHead{Head: news.Head{Part: shard.index}}
-			if status := shard.status.Load(); status != nil {
+			if status := shard.standing(); status != nil {
 				found.Slot, found.Epoch = status.Slot, status.Epoch
 				found.Current, found.Recovering = status.Current, status.Recovering
 				found.Index, found.Sequence = status.Commit, status.Sequence
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -18,6 +18,9 @@
 const (
 	operatePath   = "/core/operate"
 	operateBudget = 4 * schedule.Second
+	// mostHops is how often an errand is forwarded: by a core without a seat, and by one
+	// that does not lead.
+	mostHops = 2
 )
 
 // Errand is what a core asks the owner of a part to do for it.
@@ -27,9 +30,9 @@
 	Read      bool
 	Engines   *catalogue.Operation
 	Service   string
-	Relayed   bool
-	// Outside says that a core without a seat passes the errand on.
-	Outside bool
+	// Hops is how often the errand was forwarded, and Origin who forwarded it last.
+	Hops   int
+	Origin string
 }
 
 // Errands bring back an outcome, or all that is in force.
@@ -46,49 +49,60 @@
 	return ServicePart(errand.Service, parts)
 }
 
-// operate does an errand here if this core owns the part, and else relays it once
-// to the core that leads. An operation that may have gone into a log is never
-// sent again.
+// operate does an errand here if this core owns the part, and else forwards it to the core
+// that leads, or to one that has a seat if this one has none. It ends with the caller's
+// deadline. NotOwner says that nothing was proposed; an operation that may have gone into a
+// log is never sent again.
 func (core *Core) operate(parent context.Context, errand *Errand) (*Errands, error) {
 	bounded, cancel := context.WithTimeout(parent, operateBudget.Duration())
 	defer cancel()
 	shard := core.shards[errand.part(core.Parts)]
-	status := shard.status.Load()
-	if status != nil && status.Slot < 0 && !errand.Relayed {
-		return core.hand(bounded, shard, errand)
-	}
-	if status == nil || status.Leader < 0 || status.Leader != status.Slot && errand.Relayed {
-		return nil, mishap.New(mishap.NotOwner, "part %d has no leader here", shard.index)
-	}
-	if status.Leader == status.Slot {
+	status := shard.standing()
+	if status != nil && status.Slot >= 0 && status.Leader == status.Slot {
 		return core.perform(bounded, shard, errand)
 	}
-	relayed := *errand
-	relayed.Relayed = true
-	answer, failure := circuit.Call[Errand, Errands](bounded, core.inner, shard.seats.Load().Seats[status.Leader].Address, operatePath, operateBudget, &relayed)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.OutcomeUnknown, "the leading core did not answer")
+	address, err := core.forwardTo(shard, status, errand)
+	if err != nil {
+		return nil, err
+	}
+	forwarded := *errand
+	forwarded.Hops, forwarded.Origin = errand.Hops+1, core.seat.Address
+	answer, err := circuit.Call[Errand, Errands](bounded, core.inner, address, operatePath, operateBudget, &forwarded)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.OutcomeUnknown, "the core that was asked did not answer")
 	}
 	return answer, nil
 }
 
-// hand has a core that has a seat do an errand, as this one has none.
-func (core *Core) hand(parent context.Context, shard *shard, errand *Errand) (*Errands, error) {
-	passed := *errand
-	passed.Outside = true
+// forwardTo is whom an errand goes to next: never back to whoever forwarded it, and no
+// further than mostHops. A core without a seat only forwards what came to it first.
+func (core *Core) forwardTo(shard *shard, status *Status, errand *Errand) (string, error) {
+	if errand.Hops >= mostHops {
+		return "", mishap.New(mishap.NotOwner, "part %d is not led here, and was forwarded %d times", shard.index, errand.Hops)
+	}
+	if status == nil || status.Slot < 0 {
+		return core.someSeat(shard, errand)
+	}
+	if status.Leader < 0 {
+		return "", mishap.New(mishap.NotOwner, "part %d has no leader here", shard.index)
+	}
+	address := shard.seats.Load().Seats[status.Leader].Address
+	if address == "" || address == errand.Origin {
+		return "", mishap.New(mishap.NotOwner, "part %d is not led where the errand came from", shard.index)
+	}
+	return address, nil
+}
+
+// someSeat is a seat's address, the next one each time.
+func (core *Core) someSeat(shard *shard, errand *Errand) (string, error) {
 	seats := shard.seats.Load().Seats
 	for range seats {
 		seat := seats[int(core.turn.Add(1))%len(seats)]
-		if seat.Vacant() || seat.Address == core.seat.Address {
-			continue
+		if errand.Hops == 0 && !seat.Vacant() && seat.Address != core.seat.Address {
+			return seat.Address, nil
 		}
-		answer, failure := circuit.Call[Errand, Errands](parent, core.inner, seat.Address, operatePath, operateBudget, &passed)
-		if failure != nil {
-			return nil, mishap.Wrap(failure, mishap.OutcomeUnknown, "the core that was asked did not answer")
-		}
-		return answer, nil
 	}
-	return nil, mishap.New(mishap.NotOwner, "part %d: no seat is known here", shard.index)
+	return "", mishap.New(mishap.NotOwner, "part %d: no seat is known here", shard.index)
 }
 
 func (core *Core) perform(context context.Context, shard *shard, errand *Errand) (*Errands, error) {
@@ -110,28 +124,22 @@
 	return answer, core.read(context, shard, errand, answer)
 }
 
-// read proves by an empty entry that this core still leads, and then reads.
+// read answers once a majority has confirmed, after the call came, that this core leads.
 func (core *Core) read(context context.Context, shard *shard, errand *Errand, answer *Errands) error {
-	if _, failure := shard.propose(context, func() ([]byte, error) { return nil, nil }); failure != nil {
-		return mishap.Wrap(failure, mishap.NoMajority, "read")
-	}
-	read := shard.ask(context, func() {
+	return shard.confirmed(context, func() {
 		if shard.index > 0 {
 			answer.Engines = core.duties[shard.index-1].engines.View
 			return
 		}
 		answer.View = core.configs.View()
-		if errand.Outcome != "" {
-			found, known := core.configs.Outcome(errand.Outcome)
-			if answer.Outcome = found; !known {
-				answer.Outcome = configuration.Outcome{Code: mishap.UnknownOperation, Sequence: answer.View.Sequence, Text: errand.Outcome}
-			}
+		if errand.Outcome == "" {
+			return
+		}
+		found, known := core.configs.Outcome(errand.Outcome)
+		if answer.Outcome = found; !known {
+			answer.Outcome = configuration.Outcome{Code: mishap.UnknownOperation, Sequence: answer.View.Sequence, Text: errand.Outcome}
 		}
 	})
-	if !read {
-		return mishap.New(mishap.NoMajority, "read")
-	}
-	return nil
 }
 
 func (core *Core) configure(context context.Context, shard *shard, request configuration.Request) (configuration.Outcome, error) {
@@ -163,6 +171,12 @@
 	var operation configuration.Operation
 	if !known {
 		drafted, failure := core.draft(context, view, request, &free)
+		if failure != nil && mishap.CodeOf(failure, mishap.Malformed) != mishap.ConfigurationCostly {
+			drafted, failure = core.redraft(context, shard, &view, request, &free, failure)
+		}
+		if code := mishap.CodeOf(failure, mishap.Malformed); failure != nil && (code == mishap.NoMajority || code == mishap.NotOwner) {
+			return configuration.Outcome{}, failure
+		}
 		if failure != nil {
 			return configuration.Outcome{Code: mishap.CodeOf(failure, mishap.Malformed), Sequence: view.Sequence, Text: mishap.Text(failure)}, nil
 		}
@@ -183,6 +197,22 @@
 	return outcome, mishap.Wrap(failure, mishap.Garbage, "outcome")
 }
 
+// redraft judges a request that is to be declined once more, if what a majority confirms to
+// be in force is later than what it was judged by: a refusal is never told from this core's
+// own view alone.
+func (core *Core) redraft(
+	context context.Context, shard *shard, view *configuration.View, request configuration.Request, free *func(), declined error,
+) (configuration.Operation, error) {
+	judged := view.Sequence
+	if err := shard.confirmed(context, func() { *view = core.configs.View() }); err != nil {
+		return configuration.Operation{}, err
+	}
+	if view.Sequence == judged {
+		return configuration.Operation{}, declined
+	}
+	return core.draft(context, *view, request, free)
+}
+
 // draft evaluates a request within the operation's budget. The library can't be
 // interrupted: an evaluation that takes longer goes on alone, its operation is declined,
 // and the next one waits for its end.
@@ -211,7 +241,7 @@
 
 func (core *Core) serveErrands() {
 	circuit.Answer(core.inner, operatePath, func(context context.Context, errand *Errand) (*Errands, error) {
-		errand.Relayed, errand.Outside = !errand.Outside, false
+		errand.Hops = max(errand.Hops, 1)
 		answer, failure := core.operate(context, errand)
 		if failure == nil {
 			return answer, nil
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -90,7 +90,7 @@
 
 func (core *Core) ready(writer http.ResponseWriter, _ *http.Request) {
 	for _, shard := range core.shards {
-		if status := shard.status.Load(); status == nil || status.Recovering || !status.Current {
+		if status := shard.standing(); status == nil || status.Recovering || !status.Current {
 			circuit.WriteDecline(writer, mishap.New(mishap.NoMajority, "part %d", shard.index), "", core.comeBack())
 			return
 		}
@@ -129,7 +129,7 @@
 func (core *Core) overview() Overview {
 	overview := Overview{Name: core.Machine.Name, Hall: core.Machine.Hall, Identity: core.seat.Identity, Counters: core.counters()}
 	for _, shard := range core.shards {
-		if status := shard.status.Load(); status != nil {
+		if status := shard.standing(); status != nil {
 			overview.Parts = append(overview.Parts, *status)
 		}
 	}
--- a/internal/core/sender.go
+++ b/internal/core/sender.go
@@ -20,6 +20,13 @@
 	Messages []part.Message
 }
 
+// Receipt answers a parcel: the receiver's clock, and the echoes that its messages ask for.
+type Receipt struct {
+	Incarnation uint64
+	Clock       schedule.Microseconds
+	Echoes      []part.Echo
+}
+
 type outgoing struct {
 	part.Message
 	at schedule.Microseconds
@@ -45,6 +52,7 @@
 	address string
 	delta   schedule.Microseconds
 	queue   chan outgoing
+	echoed  func(asked schedule.Microseconds, echo part.Echo)
 	lock    sync.Mutex
 	gauge   link.Gauge
 }
@@ -57,8 +65,9 @@
 
 func (sender *sender) send(context context.Context, message part.Message) {
 	each := outgoing{message, sender.clock.Now()}
-	if message.Kind == part.Elect {
-		go sender.deliver(context, each.at, sender.delta, []part.Message{message})
+	if message.Kind == part.Elect || message.Kind == part.Confirm {
+		// The answer shows contact, and may take as long again as the message.
+		go sender.deliver(context, each.at, 2*sender.delta, []part.Message{message})
 		return
 	}
 	select {
@@ -86,23 +95,26 @@
 func (sender *sender) deliver(context context.Context, at, budget schedule.Microseconds, messages []part.Message) {
 	stamp := sender.stamp(at)
 	if !stamp.Known {
-		sender.call(context, budget, &Parcel{Sender: sender.self})
+		sender.call(context, at, budget, &Parcel{Sender: sender.self})
 		stamp = sender.stamp(at)
 	}
-	if !sender.call(context, budget, &Parcel{Stamp: stamp, Sender: sender.self, Messages: messages}) {
+	if !sender.call(context, at, budget, &Parcel{Stamp: stamp, Sender: sender.self, Messages: messages}) {
 		sender.Dropped.Add(int64(len(messages)))
 		return
 	}
 	sender.Sent.Add(int64(len(messages)))
 }
 
-func (sender *sender) call(context context.Context, budget schedule.Microseconds, parcel *Parcel) bool {
-	reading, failure := circuit.Call[Parcel, link.Reading](context, sender.inner, sender.address, deliverPath, budget, parcel)
+func (sender *sender) call(context context.Context, at, budget schedule.Microseconds, parcel *Parcel) bool {
+	receipt, failure := circuit.Call[Parcel, Receipt](context, sender.inner, sender.address, deliverPath, budget, parcel)
 	if failure != nil {
 		return false
 	}
 	sender.lock.Lock()
-	defer sender.lock.Unlock()
-	sender.gauge.Read(sender.clock.Now(), *reading)
+	sender.gauge.Read(sender.clock.Now(), link.Reading{Incarnation: receipt.Incarnation, Clock: receipt.Clock})
+	sender.lock.Unlock()
+	for _, echo := range receipt.Echoes {
+		sender.echoed(at, echo)
+	}
 	return true
 }
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -41,7 +41,9 @@
 	Current    bool                  `json:"current"`
 	Recovering bool                  `json:"recovering"`
 	GrantLeft  schedule.Microseconds `json:"grantLeftMicroseconds"`
-	QuietLeft  schedule.Microseconds `json:"quietLeftMicroseconds"`
+	// ConfirmedUntil is until when, on this core's clock, it may speak as owner.
+	ConfirmedUntil schedule.Microseconds `json:"-"`
+	QuietLeft      schedule.Microseconds `json:"quietLeftMicroseconds"`
 }
 
 // shard drives one part's member: it alone touches the member and its state.
@@ -57,6 +59,7 @@
 	published uint64
 	lock      sync.Mutex
 	waiting   map[spot]chan []byte
+	reads     []*pendingRead
 	status    atomic.Pointer[Status]
 	seats     atomic.Pointer[part.Bindings]
 	right     atomic.Pointer[order.Right]
@@ -132,6 +135,7 @@
 	log.Warn().Str("core", shard.core.Machine.Name).Int("part", shard.index).Uint64("epoch", bindings.Epoch).Msg("this core has no seat any more")
 	shard.settle(part.Output{Lost: true})
 	shard.member = nil
+	shard.answerReads()
 	if shard.index == 0 {
 		shard.core.board.Put(shard.Clock.Now(), nil)
 	}
@@ -172,6 +176,7 @@
 		shard.core.journal.Write(output.Later, func() {})
 	}
 	shard.settle(output)
+	shard.answerReads()
 }
 
 func (shard *shard) settle(output part.Output) {
@@ -201,7 +206,8 @@
 	commit, current := member.Current()
 	status := &Status{
 		Part: shard.index, Slot: member.Self, Epoch: seats.Epoch, Leader: leader, Round: round, Promised: member.Round(),
-		Commit: commit, Sequence: shard.state.Number(), Alone: member.Alone(now), Owner: member.Owns(), Current: current, Recovering: member.Recovering(),
+		Commit: commit, Sequence: shard.state.Number(), Alone: member.Alone(now), Owner: member.Confirmed(now), Current: current && !member.Detached(now), Recovering: member.Recovering(),
+		ConfirmedUntil: member.ConfirmedUntil(now),
 	}
 	var right *order.Right
 	if holder := member.Holder(); holder != nil && member.Owns() {
@@ -235,7 +241,7 @@
 	}
 	answer := make(chan placed, 1)
 	queued := shard.Put(context, func() {
-		if shard.member == nil || !shard.member.Owns() {
+		if shard.member == nil || !shard.member.Confirmed(shard.Clock.Now()) {
 			answer <- placed{nil, mishap.New(mishap.NotOwner, "part %d", shard.index)}
 			return
 		}
--- a/internal/election/isolation.go
+++ b/internal/election/isolation.go
@@ -21,6 +21,9 @@
 	hasQuorum bool
 }
 
+// Isolated tells whether less than a quorum answers this machine's PINGs.
+func (machine *Machine) Isolated() bool { return machine.isolation != nil }
+
 func (machine *Machine) isolate(now schedule.Microseconds) {
 	machine.asking, machine.okays = false, 0
 	machine.isolation = &isolation{heard: map[int]schedule.Microseconds{}}
--- a/internal/part/leading.go
+++ b/internal/part/leading.go
@@ -166,6 +166,9 @@
 	if message.Granted {
 		member.holder.Gain(now, message.From, message.Asked)
 	}
+	if message.Promised <= message.Round {
+		member.election.Answered(message.From, message.Asked)
+	}
 	if message.Asked == other.sent {
 		other.waiting = false
 	}
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -33,6 +33,8 @@
 	widening  schedule.Microseconds
 	heartbeat schedule.Microseconds
 	recovery  *recovery
+	probedAt  schedule.Microseconds
+	probed    bool
 	answers   []Result
 	bindings  Bindings
 	// settledBindings are those of the applied part of the log.
@@ -57,6 +59,7 @@
 // that the fleet is new, so that there is nothing to recover.
 func Start(place Place, state State, past journal.Past, now schedule.Microseconds, founding bool) (*Member, Output) {
 	founding = founding && !past.Whole
+	place.Quorum = place.majority()
 	member := &Member{Place: place, state: state, ledger: ledger{Past: past}}
 	member.commit, member.applied = past.Base.Index, past.Base.Index
 	member.settledBindings = place.Bindings
@@ -116,7 +119,8 @@
 }
 
 // Current tells whether everything that was acknowledged before this moment and
-// that a majority must know is known here, and up to which index.
+// that a majority must know is known here, and up to which index. It holds for whoever
+// reads a majority; one member alone may have missed the latest.
 func (member *Member) Current() (uint64, bool) {
 	return member.commit, member.current && member.recovery == nil
 }
--- a/internal/part/message.go
+++ b/internal/part/message.go
@@ -22,6 +22,8 @@
 	Appended
 	Ask
 	Tell
+	// Confirm asks for nothing but the transport's echo.
+	Confirm
 )
 
 // Message is what one slot of a part tells another.
--- a/internal/simulation/cores.go
+++ b/internal/simulation/cores.go
@@ -268,7 +268,13 @@
 	stamp := core.gauges[message.To].Stamp(at)
 	group.Send(core.slot, message.To, func() {
 		to.step(to.life, func() {
-			core.answered(life, to, func() {})
+			echo := to.member.Echo()
+			core.answered(life, to, func() {
+				if message.Echoes() {
+					core.carry(core.member.Echoed(core.Clock(), at, to.member.Me.Address, echo))
+					core.plan()
+				}
+			})
 			age, judged := stamp.Age(to.Clock(), to.life)
 			if message.Kind == part.Elect {
 				if !judged || age > Delta {
