Wake an isolated slot each δ, not at once again

Cause: a slot without a quorum's answers had its next wake-up in the past, and was woken again at once without end.

Change: it is due a delta after its last PING. Test: TestAWakeUpIsNeverDueAtOnceAgain.

--- a/internal/election/contact_test.go
+++ b/internal/election/contact_test.go
@@ -207,3 +207,20 @@
 		test.Fatalf("leader %d of round %d", leader, round)
 	}
 }
+
+// A machine whose next wake-up lies in the past would be woken without end.
+func TestAWakeUpIsNeverDueAtOnceAgain(test *testing.T) {
+	for self := range 3 {
+		place := quorumOf(3)
+		place.Self = self
+		machine, _ := election.Start(place, 0, 0, false)
+		wakes := 0
+		for now := schedule.Microseconds(0); now < 100*delta; wakes++ {
+			machine.Wake(now)
+			now = max(machine.Next(), now)
+			if wakes > 1000 {
+				test.Fatalf("slot %d, alone, was woken %d times by %dδ", self, wakes, now/delta)
+			}
+		}
+	}
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -310,7 +310,10 @@
 // Next is when the machine wants to be woken.
 func (machine *Machine) Next() schedule.Microseconds {
 	next := machine.restarted + 2*machine.Delta + 1
-	if machine.asking {
+	switch {
+	case machine.isolation != nil:
+		next = machine.isolation.asked + machine.Delta
+	case machine.asking:
 		next = machine.askedAt + 2*machine.Delta
 	}
 	if machine.mayLead(machine.round) {
