Confirm a router's first configuration by a majority of the seats' heads

Cause: behind an open gate a router put in force whatever the core it asked held, so that after its restart a core that was cut off or had just restarted handed it an old configuration.

Change: the first configuration of a life waits for a majority of the seats' heads, gathered from the reads in turn, and must have the highest sequence among them. In one life nothing falls.

--- /dev/null
+++ b/internal/router/first.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"sync"
+
+	"github.com/phuslu/log"
+
+	"coursepass/internal/configuration"
+	"coursepass/internal/core"
+	"coursepass/internal/schedule"
+)
+
+const (
+	// answerKept is how long a core's answer counts for the first configuration, as the
+	// cores are asked in turn.
+	answerKept = 2 * schedule.Second
+	// leaderlessAfter is how long a router waits if a majority of the seats answers and
+	// nobody leads them, and unheardAfter if no majority answers at all.
+	leaderlessAfter = schedule.Second
+	unheardAfter    = 3 * schedule.Second
+)
+
+// Basis says by what a router's first configuration was put in force.
+type Basis uint8
+
+// What a first configuration may rest on.
+const (
+	Unconfirmed Basis = iota
+	// ByMajority is the rule: it has all that was acknowledged before the router started.
+	ByMajority
+	// ByLeaderless is the highest of a majority that nobody leads, and ByUnheard of
+	// whoever answers while there is no majority.
+	ByLeaderless
+	ByUnheard
+)
+
+type seatAnswer struct {
+	asked    schedule.Microseconds
+	epoch    uint64
+	sequence uint64
+	current  bool
+}
+
+// First decides when the first configuration of a router's life may be put in force, from
+// single cores' answers that are gathered into a majority read.
+type First struct {
+	lock    sync.Mutex
+	began   schedule.Microseconds
+	quorum  int
+	answers map[int]seatAnswer
+	basis   Basis
+}
+
+// NewFirst begins at a router's start, among so many seats.
+func NewFirst(now schedule.Microseconds, seats int) *First {
+	return &First{began: now, quorum: seats/2 + 1, answers: map[int]seatAnswer{}}
+}
+
+// Hear takes a core's answer to a question that was sent at that moment.
+func (first *First) Hear(asked schedule.Microseconds, head core.PartHead) {
+	first.lock.Lock()
+	defer first.lock.Unlock()
+	if head.Slot < 0 || head.Recovering || asked < first.began {
+		return
+	}
+	if before, known := first.answers[head.Slot]; !known || asked >= before.asked {
+		first.answers[head.Slot] = seatAnswer{asked, head.Epoch, head.Sequence, head.Current}
+	}
+}
+
+// Take decides by the answers of the last while whether a sequence that is held may be put
+// in force. A majority of seats that are current names the sequence that it must have.
+func (first *First) Take(now schedule.Microseconds, held uint64) Basis {
+	first.lock.Lock()
+	defer first.lock.Unlock()
+	if first.basis != Unconfirmed {
+		return first.basis
+	}
+	epoch := uint64(0)
+	for slot, answer := range first.answers {
+		if now-answer.asked > answerKept {
+			delete(first.answers, slot)
+			continue
+		}
+		epoch = max(epoch, answer.epoch)
+	}
+	answering, current, highest, needed := 0, 0, uint64(0), uint64(0)
+	for _, answer := range first.answers {
+		answering++
+		highest = max(highest, answer.sequence)
+		if answer.current && answer.epoch == epoch {
+			current++
+			needed = max(needed, answer.sequence)
+		}
+	}
+	switch waited := now - first.began; {
+	case current >= first.quorum:
+		if held >= needed {
+			first.basis = ByMajority
+		}
+	case held < highest:
+	case answering >= first.quorum && waited >= leaderlessAfter:
+		first.basis = ByLeaderless
+	case answering < first.quorum && waited >= unheardAfter:
+		first.basis = ByUnheard
+	}
+	return first.basis
+}
+
+// Basis is by what the first configuration was put in force.
+func (first *First) Basis() Basis {
+	first.lock.Lock()
+	defer first.lock.Unlock()
+	return first.basis
+}
+
+// put puts a configuration in force, or holds it until the first one of this life may be.
+func (router *Router) put(view *configuration.View) {
+	router.putting.Lock()
+	defer router.putting.Unlock()
+	if router.Gate != gateOpen {
+		router.enforce(view)
+		return
+	}
+	router.held = view
+	router.release()
+}
+
+// try puts the configuration that is held in force if it may be by now.
+func (router *Router) try() {
+	router.putting.Lock()
+	defer router.putting.Unlock()
+	router.release()
+}
+
+func (router *Router) release() {
+	if router.held == nil {
+		return
+	}
+	before := router.first.Basis()
+	basis := router.first.Take(router.clock.Now(), router.held.Sequence)
+	if basis == Unconfirmed {
+		return
+	}
+	if before == Unconfirmed {
+		log.Info().Str("router", router.Machine.Name).Uint64("sequence", router.held.Sequence).Uint8("basis", uint8(basis)).Msg("first configuration")
+	}
+	view := router.held
+	router.held = nil
+	router.enforce(view)
+}
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -144,16 +144,34 @@
 	schedule.Every(context, readEvery, step)
 }
 
+// heldTurns is how many turns lie between reads once there is a configuration that only has
+// to be confirmed.
+const heldTurns = 2
+
+// known tells whether any configuration has been heard of.
+func (router *Router) known() bool {
+	item, known := router.gossip.Item(0)
+	return known && item.Sequence > 0
+}
+
 // hasten asks often until a first configuration is in force here.
 func (router *Router) hasten(parent context.Context) {
 	waiting, done := context.WithCancel(parent)
 	defer done()
+	turn := 0
 	schedule.Every(waiting, hasteEvery, func() {
 		if router.view.Load() != nil {
 			done()
 			return
 		}
-		go router.read(parent, false)
+		turn++
+		if router.known() && turn%heldTurns != 0 {
+			return
+		}
+		go func() {
+			router.read(parent, false)
+			router.try()
+		}()
 	})
 }
 
@@ -205,8 +223,12 @@
 	}
 	for range cores {
 		address := cores[int(router.turn.Add(1))%len(cores)]
+		asked := router.clock.Now()
 		answer, failure := circuit.Call[core.HeadsQuestion, core.HeadsAnswer](parent, router.inner, address, core.HeadsPath, oneBudget, question)
 		if failure == nil {
+			if len(answer.Parts) > 0 {
+				router.first.Hear(asked, answer.Parts[0])
+			}
 			router.mend(parent, address, answer)
 			return
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,13 +110,18 @@
 	// claimant names this life of the router in its claims, unlike any other.
 	claimant uint64
 	view     atomic.Pointer[configuration.View]
-	seats    []atomic.Pointer[part.Bindings]
-	lock     sync.Mutex
-	tables   map[string]*catalogue.Table
-	repeats  map[string]*relay.Repeats
-	queues   map[string]*atomic.Int64
-	stopped  atomic.Bool
-	turn     atomic.Uint32
+	// first decides when a configuration may be put in force for the first time; one that
+	// may not yet is held. Putting is held while that is done, so that nothing falls.
+	first   *First
+	held    *configuration.View
+	putting sync.Mutex
+	seats   []atomic.Pointer[part.Bindings]
+	lock    sync.Mutex
+	tables  map[string]*catalogue.Table
+	repeats map[string]*relay.Repeats
+	queues  map[string]*atomic.Int64
+	stopped atomic.Bool
+	turn    atomic.Uint32
 	// mending is held while a state is fetched, so that it is fetched once.
 	mending  sync.Mutex
 	follower Follower
@@ -148,6 +153,7 @@
 	router.doubts.told = map[Doubt]schedule.Microseconds{}
 	router.serveKeys()
 	router.serveDoubts()
+	router.first = NewFirst(router.clock.Now(), settings.Group())
 	router.gate = NewGate(schedule.Microseconds(settings.Fresh)*schedule.Millisecond, settings.Parts, settings.Group())
 	return router, nil
 }
@@ -171,15 +177,7 @@
 		state.Restore(capture)
 		view := state.View()
 		router.board.Put(now, view.Notices)
-		router.view.Store(&view)
-		if router.follower != nil {
-			router.follower.Configure(view)
-		}
-		router.lock.Lock()
-		defer router.lock.Unlock()
-		for _, table := range router.tables {
-			table.Evacuate(router.gone(&view))
-		}
+		router.put(&view)
 		return
 	}
 	view, read := catalogue.Read(capture)
@@ -202,6 +200,18 @@
 	}
 }
 
+func (router *Router) enforce(view *configuration.View) {
+	router.view.Store(view)
+	if router.follower != nil {
+		router.follower.Configure(*view)
+	}
+	router.lock.Lock()
+	defer router.lock.Unlock()
+	for _, table := range router.tables {
+		table.Evacuate(router.gone(view))
+	}
+}
+
 func (router *Router) table(service string) *catalogue.Table {
 	router.lock.Lock()
 	defer router.lock.Unlock()
