--- a/internal/router/first.go
+++ b/internal/router/first.go
@@ -14,8 +14,9 @@
 	// answerKept is how long a core's answer counts for the first configuration, as the
 	// cores are asked in turn.
 	answerKept = 2 * schedule.Second
-	// leaderlessAfter is how long a router waits if a majority of the seats answers and
-	// nobody leads them, and unheardAfter if no majority answers at all.
+	// leaderlessAfter is how long a router waits if a majority of the seats answers, and too
+	// few are current, and unheardAfter if no majority answers at all. Where a majority says
+	// that it is not current, nobody can lead, and nothing is waited for.
 	leaderlessAfter = schedule.Second
 	unheardAfter    = 3 * schedule.Second
 )
@@ -84,10 +85,12 @@
 		}
 		epoch = max(epoch, answer.epoch)
 	}
-	answering, current, highest, needed := 0, 0, uint64(0), uint64(0)
+	current, behind, highest, needed := 0, 0, uint64(0), uint64(0)
 	for _, answer := range first.answers {
-		answering++
 		highest = max(highest, answer.sequence)
+		if !answer.current {
+			behind++
+		}
 		if answer.current && answer.epoch == epoch {
 			current++
 			needed = max(needed, answer.sequence)
@@ -99,9 +102,9 @@
 			first.basis = ByMajority
 		}
 	case held < highest:
-	case answering >= first.quorum && waited >= leaderlessAfter:
+	case behind >= first.quorum || len(first.answers) >= first.quorum && waited >= leaderlessAfter:
 		first.basis = ByLeaderless
-	case answering < first.quorum && waited >= unheardAfter:
+	case waited >= unheardAfter:
 		first.basis = ByUnheard
 	}
 	return first.basis
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -144,15 +144,11 @@
 	schedule.Every(context, readEvery, step)
 }
 
-// heldTurns is how many turns lie between reads once there is a configuration that only has
-// to be confirmed.
-const heldTurns = 2
-
-// known tells whether any configuration has been heard of.
-func (router *Router) known() bool {
-	item, known := router.gossip.Item(0)
-	return known && item.Sequence > 0
-}
+// After so many hasty reads, only each second turn is taken.
+const (
+	hastyTurns = 20
+	heldTurns  = 2
+)
 
 // hasten asks often until a first configuration is in force here.
 func (router *Router) hasten(parent context.Context) {
@@ -165,7 +161,7 @@
 			return
 		}
 		turn++
-		if router.known() && turn%heldTurns != 0 {
+		if turn > hastyTurns && turn%heldTurns != 0 {
 			return
 		}
 		go func() {
