End a simulated write whose circuit was closed while its machine stood still

Cause: in the simulation a write on a circuit that was closed while its machine stood still slept on, so that the play of a frozen leader could not end.

Change: such a write ends with its circuit.

--- a/internal/simulation/ailments.go
+++ b/internal/simulation/ailments.go
@@ -29,17 +29,24 @@
 	fabric.frozen[machine] = time.Now().Add(span.Duration())
 }
 
-// rest lets a write take its time.
-func (fabric *Fabric) rest(from, to string) {
+// rest lets a write take its time; one whose circuit was closed meanwhile ends.
+func (fabric *Fabric) rest(circuit *fabricCircuit) {
+	from, to := circuit.from, circuit.to
 	fabric.lock.Lock()
 	span := fabric.Latency + fabric.slow[[2]string{from, to}]
 	fabric.lock.Unlock()
 	time.Sleep(span.Duration())
-	for fabric.asleep(from) || fabric.asleep(to) {
+	for fabric.open(circuit) && (fabric.asleep(from) || fabric.asleep(to)) {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+func (fabric *Fabric) open(circuit *fabricCircuit) bool {
+	fabric.lock.Lock()
+	defer fabric.lock.Unlock()
+	return fabric.circuits[circuit]
+}
+
 func (fabric *Fabric) asleep(machine string) bool {
 	fabric.lock.Lock()
 	defer fabric.lock.Unlock()
--- a/internal/simulation/fabric.go
+++ b/internal/simulation/fabric.go
@@ -139,7 +139,7 @@
 
 // Write takes its time, and vanishes across a cut.
 func (circuit *fabricCircuit) Write(data []byte) (int, error) {
-	circuit.fabric.rest(circuit.from, circuit.to)
+	circuit.fabric.rest(circuit)
 	circuit.fabric.lock.Lock()
 	broken := circuit.fabric.cut[[2]string{circuit.from, circuit.to}]
 	circuit.swallowed = circuit.swallowed || broken
