--- a/internal/simulation/stage_test.go
+++ b/internal/simulation/stage_test.go
@@ -34,6 +34,7 @@
 	observers map[string]*engine.Observer
 	start     map[string]func() func(context.Context) error
 	engines   map[string]*engine.Engine
+	cores     map[string]*core.Core
 	lock      sync.Mutex
 	folder    string
 	seeds     []string
@@ -86,7 +87,7 @@
 	synctest.Test(test, func(test *testing.T) {
 		stage := &stage{
 			T: test, Fabric: simulation.NewFabric(latency), deployment: deployment, engines: map[string]*engine.Engine{}, lives: map[string]*life{}, folder: folder,
-			observers: map[string]*engine.Observer{}, handOver: 3000, keep: 5000, start: map[string]func() func(context.Context) error{},
+			observers: map[string]*engine.Observer{}, handOver: 3000, keep: 5000, start: map[string]func() func(context.Context) error{}, cores: map[string]*core.Core{},
 		}
 		defer stage.end()
 		stage.build(3, deployment.routers, deployment.makers)
@@ -145,7 +146,11 @@
 		Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Rewrite: 16, Data: filepath.Join(stage.folder, name),
 	}
 	stage.add(name, inner, public, func(port simulation.Port) (daemon, error) {
-		return core.New(settings, setting.Incarnation(), port)
+		each, failure := core.New(settings, setting.Incarnation(), port)
+		stage.lock.Lock()
+		defer stage.lock.Unlock()
+		stage.cores[name] = each
+		return each, failure
 	})
 }
 
