Find taken orders in the applied history, not in the state's own fields

Change: each version of the history notes the order that raised its number, and whoever is refused an order that stands in the history is told wrong. The observer no longer depends on how the state remembers.

Seen to fail: TestObservers "a taken order refused". go test ./internal/explore passes again.

--- a/internal/explore/replica.go
+++ b/internal/explore/replica.go
@@ -1,6 +1,8 @@
 package explore
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"sync"
 
@@ -25,12 +27,22 @@
 	}})
 }
 
+func decode(data []byte) Order {
+	var operation configuration.Operation
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&operation); err != nil || operation.Routing == nil {
+		return Order{}
+	}
+	return Order{operation.Routing.Label, operation.Routing.On, operation.Routing.Digest}
+}
+
 // version is the configuration after one history of operations. The real state
 // machine made it; it is kept since many states of the search share it.
 type version struct {
-	lock      *sync.Mutex
-	before    *version
-	depth     int
+	lock   *sync.Mutex
+	before *version
+	depth  int
+	// order is what the last operation asked for, if it took effect.
+	order     Order
 	answer    []byte
 	state     *configuration.State
 	snapshot  []byte
@@ -58,6 +70,9 @@
 	}
 	made.state.Restore(before.snapshot)
 	made.answer = made.state.Apply(operation)
+	if made.state.Number() != before.state.Number() {
+		made.order = decode(operation)
+	}
 	made.snapshot = made.state.Snapshot()
 	made.snapshots[string(made.snapshot)] = made
 	before.after[string(operation)] = made
@@ -79,6 +94,16 @@
 	return present == earlier
 }
 
+// took tells whether an order took effect in this history.
+func (present *version) took(order Order) bool {
+	for ; present.before != nil; present = present.before {
+		if present.order == order {
+			return true
+		}
+	}
+	return false
+}
+
 // replica is one member's applied state.
 type replica struct{ present *version }
 
