--- a/internal/trial/explore.go
+++ b/internal/trial/explore.go
@@ -24,6 +24,7 @@
 	Contact   int    `long:"contact-ms" description:"how long a member may own the part without hearing a majority; 0 leaves it unchecked" default:"0"`
 	Replay    string `long:"replay" description:"print what these events lead to, one after the other"`
 	HeedOlder bool   `long:"heed-older" description:"have daemons heed older bindings than they know"`
+	Count     bool   `long:"count" description:"only count failing walks by their first violation, without shortening them"`
 	Walking   bool   `long:"walking" description:"replay with the bounds of a walk"`
 }
 
@@ -106,6 +107,13 @@
 				if len(world.Violations) == 0 {
 					continue
 				}
+				if run.Count {
+					lock.Lock()
+					failed++
+					fmt.Printf("walk of seed %d, %d events: %s\n", seed, len(world.Path()), world.Violations[0])
+					lock.Unlock()
+					continue
+				}
 				shrunk := explore.Shrink(options, world.Path())
 				lock.Lock()
 				failed++
