--- a/internal/explore/replica.go
+++ b/internal/explore/replica.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"coursepass/internal/configuration"
-	"coursepass/internal/mishap"
 )
 
 // Order is one configuration by routes, as an operator sends it.
@@ -28,15 +27,23 @@
 	}})
 }
 
+func decode(data []byte) Order {
+	var operation configuration.Operation
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&operation); err != nil || operation.Routing == nil {
+		return Order{}
+	}
+	return Order{operation.Routing.Label, operation.Routing.On, operation.Routing.Digest}
+}
+
 // version is the configuration after one history of operations. The real state
 // machine made it; it is kept since many states of the search share it.
 type version struct {
 	lock   *sync.Mutex
 	before *version
 	depth  int
-	answer []byte
-	// accepted is the content of the order that this version put in force, if it did.
-	accepted  string
+	// order is what the last operation asked for, if it took effect.
+	order     Order
+	answer    []byte
 	state     *configuration.State
 	snapshot  []byte
 	after     map[string]*version
@@ -63,36 +70,15 @@
 	}
 	made.state.Restore(before.snapshot)
 	made.answer = made.state.Apply(operation)
-	made.accepted = acceptedBy(operation, made.answer)
+	if made.state.Number() != before.state.Number() {
+		made.order = decode(operation)
+	}
 	made.snapshot = made.state.Snapshot()
 	made.snapshots[string(made.snapshot)] = made
 	before.after[string(operation)] = made
 	return made
 }
 
-// acceptedBy is the content of an order that was accepted, empty for all else.
-func acceptedBy(operation, answer []byte) string {
-	var asked configuration.Operation
-	var outcome configuration.Outcome
-	if gob.NewDecoder(bytes.NewReader(operation)).Decode(&asked) != nil || asked.Routing == nil {
-		return ""
-	}
-	if gob.NewDecoder(bytes.NewReader(answer)).Decode(&outcome) != nil || outcome.Code != mishap.Fine {
-		return ""
-	}
-	return Order{Label: asked.Routing.Label, On: asked.Routing.On, Digest: asked.Routing.Digest}.content()
-}
-
-// took tells whether this version or one before it put an order in force.
-func (present *version) took(order Order) bool {
-	for ; present != nil; present = present.before {
-		if present.accepted == order.content() {
-			return true
-		}
-	}
-	return false
-}
-
 // restored is the version with a snapshot.
 func (before *version) restored(snapshot []byte) *version {
 	before.lock.Lock()
@@ -108,6 +94,16 @@
 	return present == earlier
 }
 
+// took tells whether an order took effect in this history.
+func (present *version) took(order Order) bool {
+	for ; present.before != nil; present = present.before {
+		if present.order == order {
+			return true
+		}
+	}
+	return false
+}
+
 // replica is one member's applied state.
 type replica struct{ present *version }
 
--- a/internal/explore/watch.go
+++ b/internal/explore/watch.go
@@ -162,7 +162,7 @@
 	switch {
 	case outcome.Code == mishap.Fine:
 		world.accepted(asked.order)
-	case present.before != nil && present.before.took(asked.order) || world.watch.labels[asked.order.Label] == asked.order.content():
+	case present.took(asked.order) || world.watch.labels[asked.order.Label] == asked.order.content():
 		world.violate("order %v was refused with %d though it was taken", asked.order, outcome.Code)
 	}
 	world.watch.acknowledged = append(world.watch.acknowledged, noted)
