--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -106,7 +106,11 @@
 		return nil, failure
 	}
 	device, _ := network.(journal.Device)
-	disk, failure := journal.Open(journal.Options{Folder: settings.Data, Rewrite: int64(settings.Rewrite) << 20, Reserve: reserved, Device: device})
+	options := journal.Options{Folder: settings.Data, Rewrite: int64(settings.Rewrite) << 20, Device: device}
+	if !settings.Seatless {
+		options.Reserve = reserved
+	}
+	disk, failure := journal.Open(options)
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/simulation/soak_faults_test.go
+++ b/internal/simulation/soak_faults_test.go
@@ -218,11 +218,8 @@
 	}
 }
 
-func (soak *soak) fill() {
-	name := soak.any("core")
-	soak.FillDisk(name)
-	soak.gone[name] = true
-}
+// fill has one core's disk take nothing until the next mending; its process stays up.
+func (soak *soak) fill() { soak.FillDisk(soak.any("core")) }
 
 // tear leaves a torn record at the end of a killed core's journal.
 func (soak *soak) tear() {
--- a/internal/simulation/soak_fleet_test.go
+++ b/internal/simulation/soak_fleet_test.go
@@ -185,6 +185,7 @@
 
 // mend takes all failures away and lets all machines return.
 func (soak *soak) mend() {
+	soak.stayUp()
 	soak.MendDisks()
 	soak.Heal()
 	for name := range soak.start {
--- a/internal/simulation/stage_disk_test.go
+++ b/internal/simulation/stage_disk_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -150,3 +151,171 @@
 		})
 	}
 }
+
+// changes counts what was acknowledged in a span of changes one after the other, and the
+// longest time that one of them waited.
+func (stage *stage) changes(span time.Duration) (acknowledged int, longest time.Duration) {
+	for begun := time.Now(); time.Since(begun) < span; time.Sleep(300 * time.Millisecond) {
+		longest = max(longest, stage.acknowledges())
+		acknowledged++
+	}
+	return acknowledged, longest
+}
+
+// ended tells whether a daemon has ended by itself.
+func (stage *stage) ended(name string) bool {
+	select {
+	case <-stage.lives[name].done:
+		return true
+	default:
+		return false
+	}
+}
+
+// stayUp fails for each core that has ended by itself.
+func (stage *stage) stayUp() {
+	for name := range stage.lives {
+		if strings.HasPrefix(name, "core-") && stage.ended(name) {
+			stage.Errorf("%s has ended by itself", name)
+		}
+	}
+}
+
+// votesAgain waits until a core has a seat in every part and may vote.
+func (stage *stage) votesAgain(name string, span time.Duration) {
+	for begun := time.Now(); !stage.seated("127.0.0." + name[5:] + ":2"); time.Sleep(100 * time.Millisecond) {
+		if time.Since(begun) > span {
+			stage.Errorf("%s does not vote %v after its disk takes bytes", name, span)
+			return
+		}
+	}
+}
+
+// The leader's disk is full for twenty seconds and then freed: no process ends, another
+// core leads, changes go on being acknowledged, and afterwards any other core may be lost.
+func TestTheLeadersDiskIsFullForLong(test *testing.T) {
+	play(test, func(stage *stage) {
+		most(test, stage.during(40, func() {
+			leader := stage.owner(0)
+			stage.FillDisk(leader)
+			count, longest := stage.changes(20 * time.Second)
+			if test.Logf("%d changes with a full disk, each within %v", count, longest); longest > 4*time.Second {
+				test.Errorf("a change waited for %v", longest)
+			}
+			stage.stayUp()
+			if next := stage.owner(0); next == leader || next == "" {
+				test.Errorf("%s with a full disk led, %s leads", leader, next)
+			}
+			stage.MendDisks()
+			stage.votesAgain(leader, 3*time.Second)
+			time.Sleep(time.Second)
+			lost := stage.owner(0)
+			stage.kill(lost)
+			if span := stage.acknowledges(); span > 4*time.Second {
+				test.Errorf("a change waited for %v with %s lost after %s was freed", span, lost, leader)
+			}
+			stage.wake(lost)
+		}), 0.95)
+	})
+}
+
+// A core starts on a full disk: it stays up and does not lead, the others go on without
+// it, and it votes once its disk takes bytes.
+func TestACoreStartsOnAFullDisk(test *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		test.Run(fmt.Sprint("wiped ", wiped), func(test *testing.T) {
+			play(test, func(stage *stage) {
+				name := stage.owner(0)
+				stage.kill(name)
+				if wiped {
+					stage.wipe(name)
+				}
+				stage.FillDisk(name)
+				stage.wake(name)
+				_, longest := stage.changes(10 * time.Second)
+				stage.stayUp()
+				if leads := stage.owner(0); longest > 4*time.Second || leads == name || leads == "" {
+					test.Errorf("%s leads, with %s on a full disk; a change waited for %v", leads, name, longest)
+				}
+				stage.MendDisks()
+				stage.votesAgain(name, 8*time.Second)
+			})
+		})
+	}
+}
+
+// All disks are full: nothing is acknowledged and no core ends, and soon after they take
+// bytes changes are acknowledged again.
+func TestAllDisksAreFull(test *testing.T) {
+	play(test, func(stage *stage) {
+		for number := range 3 {
+			stage.FillDisk(fmt.Sprint("core-", number))
+		}
+		time.Sleep(2 * time.Second)
+		watch := newWatch(&soak{stage: stage, begun: time.Now()}, "")
+		if done := watch.operate(configuration.Request{Kind: configuration.Evacuate, Whichever: true, Hall: "norte"}); done.code == mishap.Fine {
+			test.Error("a change was acknowledged without any disk")
+		}
+		time.Sleep(10 * time.Second)
+		stage.stayUp()
+		stage.MendDisks()
+		if span := stage.acknowledges(); span > 6*time.Second {
+			test.Errorf("a change was acknowledged only %v after the disks took bytes", span)
+		}
+	})
+}
+
+// Two of three disks are slow, the leader's perhaps among them: changes are acknowledged,
+// and the leader stays.
+func TestTwoOfThreeDisksAreSlow(test *testing.T) {
+	play(test, func(stage *stage) {
+		most(test, stage.during(20, func() {
+			leader := stage.owner(0)
+			for number := range 2 {
+				stage.SlowDisk(fmt.Sprint("core-", number), 400*schedule.Millisecond)
+			}
+			_, longest := stage.changes(12 * time.Second)
+			if test.Logf("a change waited for %v at the most", longest); longest > 4*time.Second {
+				test.Errorf("a change waited for %v", longest)
+			}
+			if next := stage.owner(0); next != leader {
+				test.Errorf("%s led, %s leads: a disk that is only slow changes no leader", leader, next)
+			}
+			stage.MendDisks()
+		}), 0.98)
+	})
+}
+
+// One core's disk is full, and another core is lost with its disk while the changes go
+// on: whatever was acknowledged is there afterwards, on all three.
+func TestAFullDiskAndALostCore(test *testing.T) {
+	for _, order := range [][3]int{{0, 1, 2}, {1, 2, 0}, {2, 0, 1}} {
+		test.Run(fmt.Sprint("full ", order[0], " lost ", order[1]), func(test *testing.T) {
+			play(test, func(stage *stage) {
+				full, lost := fmt.Sprint("core-", order[0]), fmt.Sprint("core-", order[1])
+				stage.FillDisk(full)
+				stage.changes(4 * time.Second)
+				watch := newWatch(&soak{stage: stage, begun: time.Now()}, "")
+				before, _ := watch.shown()
+				stage.kill(lost)
+				time.Sleep(3 * time.Second)
+				// Without a majority that has it on disk nothing may be acknowledged.
+				if done := watch.operate(configuration.Request{Kind: configuration.Evacuate, Whichever: true, Hall: "norte"}); done.code == mishap.Fine {
+					test.Error("a change was acknowledged with one disk of three")
+				}
+				stage.stayUp()
+				stage.wake(lost)
+				stage.acknowledges()
+				after, _ := watch.shown()
+				stage.kill(full)
+				stage.wake(full)
+				stage.votesAgain(full, 10*time.Second)
+				stage.kill(fmt.Sprint("core-", order[2]))
+				time.Sleep(3 * time.Second)
+				if shown, _ := watch.shown(); before.Sequence == 0 || after.Sequence <= before.Sequence || shown.Sequence < after.Sequence {
+					test.Errorf("sequence %d, then %d, then %d is in force", before.Sequence, after.Sequence, shown.Sequence)
+				}
+			})
+		})
+	}
+}
