--- a/internal/simulation/stage_disk_test.go
+++ b/internal/simulation/stage_disk_test.go
@@ -1,6 +1,7 @@
 package simulation_test
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -61,7 +62,7 @@
 }
 
 // A core's journal ends in a torn record, again and again: it cuts the tail, comes back
-// and loses nothing; damage in the middle stops it.
+// and loses nothing.
 func TestTornJournals(test *testing.T) {
 	play(test, func(stage *stage) {
 		for length := range 10 {
@@ -88,6 +89,38 @@
 	})
 }
 
+// A core's journal is damaged in its middle: the core stays up, sets the file aside, and
+// recovers from the others as after the loss of its disk, again and again.
+func TestADamagedJournal(test *testing.T) {
+	play(test, func(stage *stage) {
+		for number := range 3 {
+			name := fmt.Sprint("core-", number)
+			stage.acknowledges()
+			stage.kill(name)
+			path := filepath.Join(stage.folder, name, "journal")
+			content, failure := os.ReadFile(path)
+			if failure != nil || len(content) < 100 {
+				test.Fatal(failure, len(content))
+			}
+			content[20] ^= 1
+			if failure := os.WriteFile(path, content, 0o644); failure != nil {
+				test.Fatal(failure)
+			}
+			stage.wake(name)
+			stage.votesAgain(name, 10*time.Second)
+			stage.stayUp()
+			aside, failure := os.ReadFile(path + ".damaged")
+			if failure != nil || !bytes.Equal(aside, content) {
+				test.Errorf("the damaged file of %s was not set aside: %v", name, failure)
+			}
+		}
+		var shown struct{ Sequence uint64 }
+		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence < 4 {
+			test.Errorf("sequence %d is in force, not 4 (%v)", shown.Sequence, failure)
+		}
+	})
+}
+
 // The core whose turn it is next has a stalled disk when the leader falls silent for a
 // moment: it must not hold the part that it can't lead.
 func TestACoreWithAStalledDiskDoesNotLead(test *testing.T) {
