Leave undone an evacuation that others overtook while it waited

Cause: an evacuation, or what takes it back, applied to whatever was in force when it came to the log. An order that lay in a link that was cut, or at a core that saw no leader, was carried out after its caller had given it up and others had taken the zone back. Changes of routes are safe, as they build on a label. Change: the core that is asked notes the sequence that it has applied; where the zone has changed since, the order changes nothing, and the platform's door answers 503, which says nothing about it. An order for what already holds is acknowledged as before; a core without a seat observes nothing, and passes the order on as before. Ruled out: a deadline in the order, since clocks of callers and daemons differ and a thawed daemon can't tell how long the bytes lay.

--- /dev/null
+++ b/internal/configuration/evacuation.go
@@ -0,0 +1,41 @@
+package configuration
+
+import (
+	"maps"
+
+	"coursepass/internal/mishap"
+)
+
+// Observation is what the core that took an order from its caller had applied at that
+// moment.
+type Observation struct {
+	Sequence uint64
+}
+
+// overtaken tells whether a hall has been evacuated or taken back after the core that took
+// the order had last heard of it. Such an order has waited somewhere, in a frozen machine
+// or a link that was cut, while its caller gave it up and others were acknowledged: it must
+// not undo them. An order for what already holds does no harm, and is never overtaken.
+func (state *State) overtaken(operation Operation) bool {
+	if operation.Observed == nil || operation.Kind != Evacuate && operation.Kind != Return {
+		return false
+	}
+	changes := state.Gone(operation.Hall) != (operation.Kind == Evacuate)
+	return changes && state.HallChanges[operation.Hall] > operation.Observed.Sequence
+}
+
+// declineOvertaken is the outcome of an order that was overtaken; it leaves all as it is.
+func (state *State) declineOvertaken(operation Operation) Outcome {
+	err := mishap.New(mishap.SequenceStale, "hall %q changed at sequence %d, after this order was taken", operation.Hall, state.HallChanges[operation.Hall])
+	return Outcome{Code: mishap.SequenceStale, Sequence: state.Sequence, Text: mishap.Text(err)}
+}
+
+// noteHallChange remembers the present sequence as that of a hall's last change.
+func (state *State) noteHallChange(hall string) {
+	changes := maps.Clone(state.HallChanges)
+	if changes == nil {
+		changes = map[string]uint64{}
+	}
+	changes[hall] = state.Sequence
+	state.HallChanges = changes
+}
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -36,10 +36,13 @@
 	Expected uint64 `json:"expected"`
 	// Whichever has an evacuation or a return apply to what is in force when it is
 	// committed, so that no other change can beat it.
-	Whichever bool              `json:"whichever,omitempty"`
-	Document  string            `json:"document,omitempty"`
-	Changes   map[string]string `json:"changes,omitempty"`
-	Hall      string            `json:"hall,omitempty"`
+	Whichever bool `json:"whichever,omitempty"`
+	// Observed, if set, has an evacuation or a return leave its hall as it is if that
+	// changed since.
+	Observed *Observation      `json:"-"`
+	Document string            `json:"document,omitempty"`
+	Changes  map[string]string `json:"changes,omitempty"`
+	Hall     string            `json:"hall,omitempty"`
 	// Notice is what a notice says; Regions are all there are, as the core knows that
 	// takes the request.
 	Notice  notice.Notice `json:"notice,omitzero"`
@@ -147,6 +150,8 @@
 	Accepted acceptedOrders
 	Keyed    acceptedOrders
 	Refused  []Refusal
+	// HallChanges are the sequences at which halls were last evacuated or taken back.
+	HallChanges map[string]uint64
 }
 
 // State is what the log of part 0 builds.
@@ -192,6 +197,9 @@
 		failure := stale(operation.Expected, state.Sequence)
 		return Outcome{Code: mishap.SequenceStale, Sequence: state.Sequence, Text: mishap.Text(failure)}
 	}
+	if state.overtaken(operation) {
+		return state.declineOvertaken(operation)
+	}
 	if operation.Kind == Back && len(state.Before) == 0 {
 		return Outcome{Code: mishap.UnknownOperation, Sequence: state.Sequence, Text: "no earlier document is known"}
 	}
@@ -211,8 +219,12 @@
 	case Evacuate:
 		if !state.Gone(operation.Hall) {
 			state.Evacuated = append(slices.Clone(state.Evacuated), operation.Hall)
+			state.noteHallChange(operation.Hall)
 		}
 	case Return:
+		if state.Gone(operation.Hall) {
+			state.noteHallChange(operation.Hall)
+		}
 		state.Evacuated = slices.DeleteFunc(slices.Clone(state.Evacuated), func(hall string) bool { return hall == operation.Hall })
 	}
 	return Outcome{Sequence: state.Sequence}
--- a/internal/core/door.go
+++ b/internal/core/door.go
@@ -20,6 +20,9 @@
 // or within the context's own deadline if there is one. An outcome is what was committed,
 // or was declined without a trace; an error with OutcomeUnknown may still take effect.
 func (core *Core) Configure(parent context.Context, request configuration.Request) (configuration.Outcome, error) {
+	if request.Kind == configuration.Evacuate || request.Kind == configuration.Return {
+		request.Observed = core.observe(parent)
+	}
 	answer, failure := core.enter(parent, &Errand{Configure: &request})
 	if failure != nil {
 		return configuration.Outcome{}, failure
@@ -27,6 +30,20 @@
 	return answer.Outcome, nil
 }
 
+// observe is what this core has applied now. A core without a seat applies nothing and
+// observes nothing.
+func (core *Core) observe(parent context.Context) *configuration.Observation {
+	shard := core.shards[0]
+	if status := shard.status.Load(); status == nil || status.Slot < 0 {
+		return nil
+	}
+	var sequence uint64
+	if !shard.ask(parent, func() { sequence = core.configs.Number() }) {
+		return nil
+	}
+	return &configuration.Observation{Sequence: sequence}
+}
+
 // Read is all that is in force, proved by a majority. It is bounded as Configure is.
 func (core *Core) Read(parent context.Context) (configuration.View, error) {
 	answer, failure := core.enter(parent, &Errand{Read: true})
