Ask the configuration's state whether an order was taken, in the exploration too

Cause: the exploration read the map of taken digests, which the packed list of accepted orders has replaced; together the two did not build. Change: State.HasAccepted says it, with the base. The exploration's tests pass.

--- a/internal/configuration/accepted.go
+++ b/internal/configuration/accepted.go
@@ -85,6 +85,9 @@
 	return 0, false
 }
 
+// HasAccepted tells whether this very order by routes is among those that took effect.
+func (state *State) HasAccepted(routing *Routing) bool { return state.Accepted.contains(routing) }
+
 // Refusal is the outcome of an operation with a key that did not take effect.
 type Refusal struct {
 	Key string
--- a/internal/configuration/routing.go
+++ b/internal/configuration/routing.go
@@ -144,7 +144,7 @@
 	if failure := routing.check(); failure != nil {
 		return declined(failure)
 	}
-	if state.Accepted.contains(routing) {
+	if state.HasAccepted(routing) {
 		return Outcome{Sequence: state.Sequence}
 	}
 	if routing.On != state.Label {
--- a/internal/explore/watch.go
+++ b/internal/explore/watch.go
@@ -159,11 +159,11 @@
 	if err := gob.NewDecoder(bytes.NewReader(result.Answer)).Decode(&outcome); err != nil {
 		world.violate("the outcome of order %v can't be read: %v", asked.order, err)
 	}
-	taken, known := present.state.Taken[asked.order.Label]
+	taken := present.state.HasAccepted(&configuration.Routing{Label: asked.order.Label, On: asked.order.On, Digest: asked.order.Digest})
 	switch {
 	case outcome.Code == mishap.Fine:
 		world.accepted(asked.order)
-	case known && taken == asked.order.Digest || world.watch.labels[asked.order.Label] == asked.order.content():
+	case taken || world.watch.labels[asked.order.Label] == asked.order.content():
 		world.violate("order %v was refused with %d though it was taken", asked.order, outcome.Code)
 	}
 	world.watch.acknowledged = append(world.watch.acknowledged, noted)
