Answer orders that come before a core's parts have begun

Cause: a core listens before its parts have begun; an order that came then read the seats of a part that had none yet, and ended in a nil pointer (the door's test failed so in 2 of 4 runs on a busy machine; on the platform the caller's connection was closed).

Change: such an order ends as not proposed, and is tried again inside its time.

Test: TestAnOrderBeforeThePartsHaveBegun fails without the mend (nil pointer).

--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -95,7 +95,11 @@
 
 // someSeat is a seat's address, the next one each time.
 func (core *Core) someSeat(shard *shard, errand *Errand) (string, error) {
-	seats := shard.seats.Load().Seats
+	known := shard.seats.Load()
+	if known == nil {
+		return "", mishap.New(mishap.NotOwner, "part %d has not begun here", shard.index)
+	}
+	seats := known.Seats
 	for range seats {
 		seat := seats[int(core.turn.Add(1))%len(seats)]
 		if errand.Hops == 0 && !seat.Vacant() && seat.Address != core.seat.Address {
