Take no evacuation that may have waited in a frozen machine's sockets

Cause: a core that is thawed reads an order that its caller gave up long ago; if it catches up first, what it has applied is current, and the order looks new. Change: a core notes every 250 ms that it runs. While a note is overdue by half a second, and for a second after, evacuations and what takes them back are answered 503, which says nothing about them; callers go on to another core. Ruled out: watching whether the caller's connection has ended, as the end is only seen in the background, after the order was passed on; asking a majority first, as that makes the order look newer still.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,6 +90,7 @@
 	configs     *configuration.State
 	configuring chan struct{}
 	board       notice.Board
+	standstill  standstill
 }
 
 // ServicePart is the part that holds a service's engines.
@@ -229,6 +230,10 @@
 	for _, each := range core.shards {
 		launch(func() error { each.run(running); return nil })
 	}
+	launch(func() error {
+		schedule.Every(running, standstillTick, func() { core.standstill.note(core.clock.Now()) })
+		return nil
+	})
 	launch(func() error { core.seek(running); return nil })
 	launch(func() error { core.rebuild(running); return nil })
 	launch(func() error { return circuit.Serve(running, listeners.Inner, core.inner, schedule.Second) })
--- a/internal/core/door.go
+++ b/internal/core/door.go
@@ -21,6 +21,9 @@
 // or was declined without a trace; an error with OutcomeUnknown may still take effect.
 func (core *Core) Configure(parent context.Context, request configuration.Request) (configuration.Outcome, error) {
 	if request.Kind == configuration.Evacuate || request.Kind == configuration.Return {
+		if core.standstill.lately(core.clock.Now()) {
+			return configuration.Outcome{}, mishap.New(mishap.NoMajority, "this core has stood still; the order may be an old one, and was not taken")
+		}
 		request.Observed = core.observe(parent)
 	}
 	answer, failure := core.enter(parent, &Errand{Configure: &request})
