--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -1,7 +1,6 @@
 package election_test
 
 import (
-	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -265,7 +264,7 @@
 			if agreed && accessible[before] > 60+1 {
 				kept++
 				if !still || after != before {
-					test.Fatal(fmt.Sprintf("seed %d, step %d: %d was leader and accessible for 6δ, and is not leader any more", seed, step, before))
+					test.Fatalf("seed %d, step %d: %d was leader and accessible for 6δ, and is not leader any more", seed, step, before)
 				}
 			}
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -39,7 +39,8 @@
 	Keep     int      `long:"keep-ms" description:"milliseconds that prompt memory is held for a ticket" default:"5000"`
 	Book     string   `long:"book" description:"file of the book of runs begun, so that it outlives the process; kept in memory if not given"`
 	Lease    int      `long:"lease-ms" description:"the fleet's lease-ms, for the observer" default:"3000"`
-	Level    string   `long:"log-level" description:"lowest level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+	//lint:ignore SA5008 go-flags reads a repeated choice tag as a list
+	Level string `long:"log-level" description:"lowest level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
 }
 
 // Check declines settings that can't work.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,9 +21,10 @@
 // Settings of a fleet.
 type Settings struct {
 	setting.Lengths
-	Cores         int      `long:"cores" description:"number of cores" default:"3"`
-	Routers       int      `long:"routers" description:"number of routers" default:"4"`
-	Engines       int      `long:"engines" description:"number of stand-in engines" default:"12"`
+	Cores   int `long:"cores" description:"number of cores" default:"3"`
+	Routers int `long:"routers" description:"number of routers" default:"4"`
+	Engines int `long:"engines" description:"number of stand-in engines" default:"12"`
+	//lint:ignore SA5008 go-flags reads a repeated default tag as a list
 	Halls         []string `long:"hall" description:"names of the halls" default:"norte" default:"centro" default:"sur"`
 	Service       string   `long:"service" description:"the model service" default:"reservas"`
 	Version       string   `long:"version" description:"the model version" default:"r1"`
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,10 +31,11 @@
 type Settings struct {
 	setting.Place
 	setting.Inner
-	Grace   int    `long:"grace-ms" description:"how long running streams may go on after a polite stop" default:"9000"`
-	Silence int    `long:"silence-ms" description:"how long a stream may fall silent before it is given up" default:"1000"`
-	Gate    string `long:"gate" description:"strict: without a fresh majority read no new work is taken; open: what is in force here is served on, and first of all what any core has committed" choice:"strict" choice:"open" default:"strict"`
-	Fresh   int    `long:"fresh-ms" description:"how old the last majority read may be before no new work is taken" default:"1600"`
+	Grace   int `long:"grace-ms" description:"how long running streams may go on after a polite stop" default:"9000"`
+	Silence int `long:"silence-ms" description:"how long a stream may fall silent before it is given up" default:"1000"`
+	//lint:ignore SA5008 go-flags reads a repeated choice tag as a list
+	Gate  string `long:"gate" description:"strict: without a fresh majority read no new work is taken; open: what is in force here is served on, and first of all what any core has committed" choice:"strict" choice:"open" default:"strict"`
+	Fresh int    `long:"fresh-ms" description:"how old the last majority read may be before no new work is taken" default:"1600"`
 }
 
 // Check declines settings that can't work.
--- a/internal/simulation/routers.go
+++ b/internal/simulation/routers.go
@@ -30,7 +30,6 @@
 	clock    func() schedule.Microseconds
 	Open     int
 	Shut     int
-	frozen   schedule.Microseconds
 	sequence uint64
 }
 
