--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -74,25 +74,25 @@
 }
 
 // Put queues an input, waiting for room as long as the context lives.
-func (loop *Loop[Input]) Put(context context.Context, input Input) bool {
+func (loop *Loop[Input]) Put(ctx context.Context, input Input) bool {
 	select {
 	case loop.inputs <- input:
 		return true
-	case <-context.Done():
+	case <-ctx.Done():
 		return false
 	}
 }
 
 // Run handles inputs and wake-ups until the context ends. Both functions return
 // the moment of the next wake-up.
-func (loop *Loop[Input]) Run(context context.Context, handle func(Input) Microseconds, wake func() Microseconds) {
+func (loop *Loop[Input]) Run(ctx context.Context, handle func(Input) Microseconds, wake func() Microseconds) {
 	next := wake()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
 		alarm.Reset(max(next-loop.Clock.Now(), 0).Duration())
 		select {
-		case <-context.Done():
+		case <-ctx.Done():
 			return
 		case input := <-loop.inputs:
 			next = handle(input)
@@ -103,12 +103,12 @@
 }
 
 // Every calls the action at the span until the context ends.
-func Every(context context.Context, span Microseconds, action func()) {
+func Every(ctx context.Context, span Microseconds, action func()) {
 	ticker := time.NewTicker(span.Duration())
 	defer ticker.Stop()
 	for {
 		select {
-		case <-context.Done():
+		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			action()
