--- a/internal/catalogue/state.go
+++ b/internal/catalogue/state.go
@@ -134,8 +134,8 @@
 // Read decodes a snapshot.
 func Read(snapshot []byte) (View, bool) {
 	view := NewState().View
-	failure := gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&view)
-	return view, failure == nil
+	err := gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&view)
+	return view, err == nil
 }
 
 // Encode writes an operation for the log.
@@ -144,14 +144,14 @@
 // ReadResult decodes an operation's result.
 func ReadResult(data []byte) (Result, error) {
 	var result Result
-	failure := gob.NewDecoder(bytes.NewReader(data)).Decode(&result)
-	return result, mishap.Wrap(failure, mishap.Garbage, "result")
+	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&result)
+	return result, mishap.Wrap(err, mishap.Garbage, "result")
 }
 
 func encode(value any) []byte {
 	var buffer bytes.Buffer
-	if failure := gob.NewEncoder(&buffer).Encode(value); failure != nil {
-		panic(failure)
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		panic(err)
 	}
 	return buffer.Bytes()
 }
