--- a/internal/rule/rule.go
+++ b/internal/rule/rule.go
@@ -49,9 +49,9 @@
 	if len(text) > longest {
 		return nil, mishap.New(mishap.ConfigurationInvalid, "%s has more than %d characters", kind, longest)
 	}
-	environment, failure := cel.NewEnv(names[kind]...)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.ConfigurationInvalid, string(kind))
+	environment, err := cel.NewEnv(names[kind]...)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.ConfigurationInvalid, string(kind))
 	}
 	tree, issues := environment.Compile(text)
 	if issues.Err() != nil {
@@ -60,14 +60,14 @@
 	if tree.OutputType() != cel.BoolType {
 		return nil, mishap.New(mishap.ConfigurationInvalid, "%s gives %s, not true or false", kind, tree.OutputType())
 	}
-	program, failure := environment.Program(tree, cel.CostLimit(costMost))
-	return &Rule{program}, mishap.Wrap(failure, mishap.ConfigurationInvalid, string(kind))
+	program, err := environment.Program(tree, cel.CostLimit(costMost))
+	return &Rule{program}, mishap.Wrap(err, mishap.ConfigurationInvalid, string(kind))
 }
 
 // Holds evaluates the rule. One that fails or costs too much does not hold.
 func (rule *Rule) Holds(values Names) bool {
-	result, _, failure := rule.program.Eval(map[string]any(values))
-	if failure != nil {
+	result, _, err := rule.program.Eval(map[string]any(values))
+	if err != nil {
 		return false
 	}
 	holds, yes := result.Value().(bool)
@@ -86,8 +86,8 @@
 	if found, known := read.Load(key); known {
 		return found.(*Rule)
 	}
-	rule, failure := Read(kind, text)
-	if failure != nil {
+	rule, err := Read(kind, text)
+	if err != nil {
 		return nil
 	}
 	found, _ := read.LoadOrStore(key, rule)
--- a/internal/rule/rule_test.go
+++ b/internal/rule/rule_test.go
@@ -19,24 +19,24 @@
 			`tokens < 10`: true, `engineHall == hall`: false, `engineVersion.startsWith("r") && promptBytes >= 900`: true,
 			`engineName in ["engine-1", "engine-2"]`: true, `tokens / 0 == 1`: false,
 		} {
-			found, failure := rule.Read(rule.Match, text)
-			So(failure, ShouldBeNil)
+			found, err := rule.Read(rule.Match, text)
+			So(err, ShouldBeNil)
 			So(found.Holds(values), ShouldEqual, expected)
 		}
 	})
 	Convey("bad rules are declined", test, func() {
 		for _, text := range []string{`tokens <`, `tokens + 1`, `unknown == 1`, `tries < 2`, `hall < 3`, `tokens > ` + strings.Repeat("1", 2000)} {
-			_, failure := rule.Read(rule.Match, text)
-			So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationInvalid)
+			_, err := rule.Read(rule.Match, text)
+			So(mishap.CodeOf(err, 0), ShouldEqual, mishap.ConfigurationInvalid)
 		}
 	})
 	Convey("a rule that costs too much does not hold", test, func() {
 		list := "[" + strings.Repeat("1,", 60) + "1]"
-		found, failure := rule.Read(rule.Match, list+".all(a, "+list+".all(b, a == b))")
-		So(failure, ShouldBeNil)
+		found, err := rule.Read(rule.Match, list+".all(a, "+list+".all(b, a == b))")
+		So(err, ShouldBeNil)
 		So(found.Holds(values), ShouldBeFalse)
-		found, failure = rule.Read(rule.Match, "["+strings.Repeat("1,", 30)+"1].all(a, a == 1)")
-		So(failure, ShouldBeNil)
+		found, err = rule.Read(rule.Match, "["+strings.Repeat("1,", 30)+"1].all(a, a == 1)")
+		So(err, ShouldBeNil)
 		So(found.Holds(values), ShouldBeTrue)
 	})
 }
