--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -131,15 +131,15 @@
 	if path == "" {
 		return nil
 	}
-	content, failure := os.ReadFile(path)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.SettingBad, "--settings")
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return mishap.Wrap(err, mishap.SettingBad, "--settings")
 	}
-	if failure := flags.NewIniParser(parser).Parse(strings.NewReader(string(content))); failure != nil {
-		return mishap.Wrap(failure, mishap.SettingBad, path)
+	if err := flags.NewIniParser(parser).Parse(strings.NewReader(string(content))); err != nil {
+		return mishap.Wrap(err, mishap.SettingBad, path)
 	}
-	_, failure = parser.ParseArgs(again)
-	return mishap.Wrap(failure, mishap.SettingBad, "flags")
+	_, err = parser.ParseArgs(again)
+	return mishap.Wrap(err, mishap.SettingBad, "flags")
 }
 
 // Incarnation names one life of a process. It grows with the wall clock, and is
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -42,9 +42,9 @@
 		Convey(name+" is named", test, func() {
 			settings := good()
 			spoil(&settings)
-			failure := settings.Check()
-			So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.SettingBad)
-			So(mishap.Text(failure), ShouldContainSubstring, name)
+			err := settings.Check()
+			So(mishap.CodeOf(err, 0), ShouldEqual, mishap.SettingBad)
+			So(mishap.Text(err), ShouldContainSubstring, name)
 		})
 	}
 }
@@ -60,22 +60,22 @@
 		parser := flags.NewParser(all, flags.None)
 		parser.CommandHandler = func(flags.Commander, []string) error { return nil }
 		arguments = append([]string{"core", "--settings", path}, arguments...)
-		_, failure := parser.ParseArgs(arguments)
-		So(failure, ShouldBeNil)
-		failure = setting.ReadFile(parser, path, arguments)
-		return all.Core.Settings, failure
+		_, err := parser.ParseArgs(arguments)
+		So(err, ShouldBeNil)
+		err = setting.ReadFile(parser, path, arguments)
+		return all.Core.Settings, err
 	}
 	Convey("names and seeds come from the file, a flag goes before it", test, func() {
-		settings, failure := read("[core]\nname = core-7\nhall = sur\nseed = 10.0.0.1:1\nseed = 10.0.0.2:1\nseed = 10.0.0.3:1\n", "--hall", "norte")
-		So(failure, ShouldBeNil)
+		settings, err := read("[core]\nname = core-7\nhall = sur\nseed = 10.0.0.1:1\nseed = 10.0.0.2:1\nseed = 10.0.0.3:1\n", "--hall", "norte")
+		So(err, ShouldBeNil)
 		So(settings.Place.Name, ShouldEqual, "core-7")
 		So(settings.Hall, ShouldEqual, "norte")
 		So(settings.Seeds, ShouldResemble, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
 	})
 	Convey("an unknown name in the file is declined", test, func() {
-		_, failure := read("[core]\nnmae = core-7\n")
-		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.SettingBad)
-		So(mishap.Text(failure), ShouldContainSubstring, "nmae")
+		_, err := read("[core]\nnmae = core-7\n")
+		So(mishap.CodeOf(err, 0), ShouldEqual, mishap.SettingBad)
+		So(mishap.Text(err), ShouldContainSubstring, "nmae")
 	})
 }
 
@@ -93,8 +93,8 @@
 	})
 	Convey("they are read from flags and from a file alike", test, func() {
 		var made setting.Place
-		_, failure := flags.NewParser(&made, flags.None).ParseArgs([]string{"--region-of", "norte=north", "--region-of=sur=south"})
-		So(failure, ShouldBeNil)
+		_, err := flags.NewParser(&made, flags.None).ParseArgs([]string{"--region-of", "norte=north", "--region-of=sur=south"})
+		So(err, ShouldBeNil)
 		So(made.RegionOf, ShouldResemble, map[string]string{"norte": "north", "sur": "south"})
 	})
 	Convey("a site gives its own", test, func() {
--- a/internal/setting/site.go
+++ b/internal/setting/site.go
@@ -116,7 +116,7 @@
 func (site Site) CoreSeeds() []string {
 	var seeds []string
 	for _, seed := range site.Seeds {
-		if host, _, failure := net.SplitHostPort(seed); failure == nil {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
 			seeds = append(seeds, site.at(host, coreInner))
 		}
 	}
--- a/internal/setting/site_test.go
+++ b/internal/setting/site_test.go
@@ -49,8 +49,8 @@
 		So(core.Seeds, ShouldResemble, seeds)
 		So([]string{coreInner.Inner, routerInner.Inner, core.Public, router.Public}, ShouldResemble, []string{"10.1.0.12:7300", "10.1.0.12:7301", "10.1.0.12:7302", "10.1.0.12:7303"})
 		So([]string{core.Name, router.Name}, ShouldResemble, []string{"edge-1-core", "edge-1-router"})
-		for _, failure := range []error{core.Check(), router.Check(), coreInner.Check(), routerInner.Check()} {
-			So(failure, ShouldBeNil)
+		for _, err := range []error{core.Check(), router.Check(), coreInner.Check(), routerInner.Check()} {
+			So(err, ShouldBeNil)
 		}
 	})
 	Convey("the order of the seeds does not matter", test, func() {
