Name errors err and contexts ctx in the sibling package

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The code compiles and the tests of the packages renamed here pass.

--- a/internal/sibling/gossip.go
+++ b/internal/sibling/gossip.go
@@ -36,10 +36,10 @@
 		answer := view.Answer(*trade)
 		return &answer, nil
 	})
-	circuit.Answer(inner, pushPath, func(context context.Context, offer *news.Offer) (*news.Digest, error) {
+	circuit.Answer(inner, pushPath, func(ctx context.Context, offer *news.Offer) (*news.Digest, error) {
 		for _, item := range offer.Items {
-			if gossip.pass(context, item); gossip.lacks(item) {
-				go gossip.mendOnce(context, offer.From)
+			if gossip.pass(ctx, item); gossip.lacks(item) {
+				go gossip.mendOnce(ctx, offer.From)
 			}
 		}
 		return &news.Digest{}, nil
@@ -58,17 +58,17 @@
 func (gossip *Gossip) SetSeeds(seeds []string) { gossip.seeds.Store(&seeds) }
 
 // Run shuffles each second and compares digests each half second.
-func (gossip *Gossip) Run(context context.Context) {
-	go schedule.Every(context, schedule.Second, func() { gossip.shuffle(context) })
-	gossip.shuffle(context)
-	schedule.Every(context, schedule.Second/2, func() {
+func (gossip *Gossip) Run(ctx context.Context) {
+	go schedule.Every(ctx, schedule.Second, func() { gossip.shuffle(ctx) })
+	gossip.shuffle(ctx)
+	schedule.Every(ctx, schedule.Second/2, func() {
 		if some := gossip.Some(1); len(some) > 0 {
-			gossip.Mend(context, some[0].Inner)
+			gossip.Mend(ctx, some[0].Inner)
 		}
 	})
 }
 
-func (gossip *Gossip) shuffle(context context.Context) {
+func (gossip *Gossip) shuffle(ctx context.Context) {
 	other, trade, found := gossip.Begin()
 	address := other.Inner
 	if !found {
@@ -81,8 +81,8 @@
 	if address == gossip.Self.Inner {
 		return
 	}
-	answer, failure := circuit.Call[Trade, Trade](context, gossip.inner, address, shufflePath, patience, &trade)
-	if failure != nil {
+	answer, err := circuit.Call[Trade, Trade](ctx, gossip.inner, address, shufflePath, patience, &trade)
+	if err != nil {
 		gossip.Drop(other.Name)
 		return
 	}
@@ -93,7 +93,7 @@
 }
 
 // Publish takes news that began here and passes it on.
-func (gossip *Gossip) Publish(context context.Context, item news.Item) { gossip.pass(context, item) }
+func (gossip *Gossip) Publish(ctx context.Context, item news.Item) { gossip.pass(ctx, item) }
 
 // lacks tells whether an offered state has not been reached here.
 func (gossip *Gossip) lacks(item news.Item) bool {
@@ -129,9 +129,9 @@
 }
 
 // Mend compares digests with one address and takes what was missing here.
-func (gossip *Gossip) Mend(context context.Context, address string) {
-	answer, failure := circuit.Call[news.Digest, news.Answer](context, gossip.inner, address, comparePath, 2*schedule.Second, &news.Digest{Heads: gossip.Heads()})
-	if failure != nil {
+func (gossip *Gossip) Mend(ctx context.Context, address string) {
+	answer, err := circuit.Call[news.Digest, news.Answer](ctx, gossip.inner, address, comparePath, 2*schedule.Second, &news.Digest{Heads: gossip.Heads()})
+	if err != nil {
 		return
 	}
 	for _, item := range answer.Items {
