Name errors err and contexts ctx in the engine package

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The code compiles and the tests of the packages renamed here pass.

--- a/internal/engine/book.go
+++ b/internal/engine/book.go
@@ -46,9 +46,9 @@
 // OpenBook reads the book of earlier lives and goes on writing it.
 func OpenBook(path string) (*Book, error) {
 	book := &Book{}
-	file, failure := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.StartFailed, "book")
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.StartFailed, "book")
 	}
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -100,8 +100,8 @@
 
 // New makes an engine. The observer may outlive it.
 func New(settings Settings, observer *Observer, network circuit.Network) (*Engine, error) {
-	if failure := settings.Check(); failure != nil {
-		return nil, failure
+	if err := settings.Check(); err != nil {
+		return nil, err
 	}
 	clock := schedule.NewClock()
 	return &Engine{
@@ -150,14 +150,14 @@
 }
 
 // enrol tells the cores of this life until one of them has it in the list.
-func (engine *Engine) enrol(context context.Context) {
+func (engine *Engine) enrol(ctx context.Context) {
 	body, _ := json.Marshal(catalogue.Engine{
 		Name: engine.Name, Service: engine.Service, Hall: engine.Hall, Address: engine.Address, Incarnation: engine.incarnation,
 	})
 	for turn := 0; ; turn++ {
-		request, _ := http.NewRequestWithContext(context, http.MethodPost, "http://"+engine.Cores[turn%len(engine.Cores)]+"/v1/engines", bytes.NewReader(body))
-		answer, failure := engine.client.Do(request)
-		if failure == nil {
+		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engine.Cores[turn%len(engine.Cores)]+"/v1/engines", bytes.NewReader(body))
+		answer, err := engine.client.Do(request)
+		if err == nil {
 			answer.Body.Close()
 			if answer.StatusCode == http.StatusOK {
 				log.Info().Str("engine", engine.Name).Msg("engine is in the list")
@@ -165,7 +165,7 @@
 			}
 		}
 		select {
-		case <-context.Done():
+		case <-ctx.Done():
 			return
 		case <-time.After(300 * time.Millisecond):
 		}
@@ -195,8 +195,8 @@
 
 func (engine *Engine) takeOrder(writer http.ResponseWriter, request *http.Request) {
 	var given order.Order
-	if failure := circuit.ReadJSON(writer, request, 1<<20, &given); failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	if err := circuit.ReadJSON(writer, request, 1<<20, &given); err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	engine.lock.Lock()
@@ -211,8 +211,8 @@
 
 func (engine *Engine) cancel(writer http.ResponseWriter, request *http.Request) {
 	var ask CancelAsk
-	if failure := circuit.ReadJSON(writer, request, 4096, &ask); failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	if err := circuit.ReadJSON(writer, request, 4096, &ask); err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	engine.lock.Lock()
--- a/internal/engine/work.go
+++ b/internal/engine/work.go
@@ -38,13 +38,13 @@
 	return hex.EncodeToString(sum[:4])
 }
 
-func rest(context context.Context, span schedule.Microseconds) bool {
+func rest(ctx context.Context, span schedule.Microseconds) bool {
 	alarm := time.NewTimer(span.Duration())
 	defer alarm.Stop()
 	select {
 	case <-alarm.C:
 		return true
-	case <-context.Done():
+	case <-ctx.Done():
 		return false
 	}
 }
@@ -94,13 +94,13 @@
 
 func (engine *Engine) prefill(writer http.ResponseWriter, request *http.Request) {
 	var ask PrefillAsk
-	if failure := circuit.ReadJSON(writer, request, 8<<20, &ask); failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	if err := circuit.ReadJSON(writer, request, 8<<20, &ask); err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
-	running, end, failure := engine.begin(request.Context(), contract.Prefill, contract.Prefill, ask.Run, ask.Key, ask.Service, ask.Version)
-	if failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	running, end, err := engine.begin(request.Context(), contract.Prefill, contract.Prefill, ask.Run, ask.Key, ask.Service, ask.Version)
+	if err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	tokens := len(ask.Prompt)/tokenBytes + 1
@@ -150,13 +150,13 @@
 
 func (engine *Engine) handOver(writer http.ResponseWriter, request *http.Request) {
 	var ask HandOverAsk
-	if failure := circuit.ReadJSON(writer, request, 64<<10, &ask); failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	if err := circuit.ReadJSON(writer, request, 64<<10, &ask); err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
-	held, failure := engine.release(ask.Ticket)
-	if failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	held, err := engine.release(ask.Ticket)
+	if err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	rest(request.Context(), schedule.Microseconds(engine.HandOver))
@@ -182,19 +182,19 @@
 	return held.Memory, nil
 }
 
-func (engine *Engine) fetch(context context.Context, ask DecodeAsk) (Memory, error) {
+func (engine *Engine) fetch(ctx context.Context, ask DecodeAsk) (Memory, error) {
 	if ask.Source == engine.Address {
 		return engine.release(ask.Ticket)
 	}
 	body, _ := json.Marshal(HandOverAsk{ask.Ticket})
-	request, failure := http.NewRequestWithContext(context, http.MethodPost, "http://"+ask.Source+HandOverPath, bytes.NewReader(body))
-	if failure != nil {
-		return Memory{}, mishap.Wrap(failure, mishap.TicketVoid, ask.Source)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ask.Source+HandOverPath, bytes.NewReader(body))
+	if err != nil {
+		return Memory{}, mishap.Wrap(err, mishap.TicketVoid, ask.Source)
 	}
 	request.GetBody = nil
-	answer, failure := engine.client.Do(request)
-	if failure != nil {
-		return Memory{}, mishap.Wrap(failure, mishap.TicketVoid, ask.Source)
+	answer, err := engine.client.Do(request)
+	if err != nil {
+		return Memory{}, mishap.Wrap(err, mishap.TicketVoid, ask.Source)
 	}
 	defer answer.Body.Close()
 	var held Memory
@@ -206,21 +206,21 @@
 
 func (engine *Engine) decode(writer http.ResponseWriter, request *http.Request) {
 	var ask DecodeAsk
-	if failure := circuit.ReadJSON(writer, request, 64<<10, &ask); failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	if err := circuit.ReadJSON(writer, request, 64<<10, &ask); err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
-	running, end, failure := engine.begin(request.Context(), contract.Decode, contract.Decode, ask.Run, ask.Key, ask.Service, ask.Version)
-	if failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	running, end, err := engine.begin(request.Context(), contract.Decode, contract.Decode, ask.Run, ask.Key, ask.Service, ask.Version)
+	if err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	ended := stopped
 	defer func() { end(ended) }()
-	held, failure := engine.fetch(running, ask)
-	if failure != nil {
+	held, err := engine.fetch(running, ask)
+	if err != nil {
 		ended = unstarted
-		circuit.WriteDecline(writer, failure, "", 0)
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	writer.Header().Set("Content-Type", "application/x-ndjson")
