--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -41,9 +41,9 @@
 	body, _ := json.Marshal(router.Ask{Tenant: run.Tenant, Kind: ask.kind, Key: ask.key, Prompt: ask.prompt, Tokens: ask.tokens})
 	request, _ := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+run.pick()+"/v1/answer", bytes.NewReader(body))
 	request.GetBody = nil
-	answer, failure := run.client.Do(request)
+	answer, err := run.client.Do(request)
 	switch {
-	case failure != nil:
+	case err != nil:
 		end.name = "no answer"
 	case answer.StatusCode != http.StatusOK:
 		var told circuit.Decline
@@ -145,8 +145,8 @@
 }
 
 func (run *Run) services(parent context.Context) []string {
-	plan, failure := run.plan(parent)
-	if failure != nil {
+	plan, err := run.plan(parent)
+	if err != nil {
 		return nil
 	}
 	var services []string
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -94,8 +94,8 @@
 
 // New makes a run from checked settings.
 func New(settings Settings, network circuit.Network) (*Run, error) {
-	if failure := settings.Check(); failure != nil {
-		return nil, failure
+	if err := settings.Check(); err != nil {
+		return nil, err
 	}
 	meter := hall.NewMeter("")
 	transport := circuit.NewTransport(circuit.Options{Network: network, Meter: meter})
@@ -107,9 +107,9 @@
 
 // Drive sends the whole load and returns its figures.
 func (run *Run) Drive(parent context.Context) (*Figures, error) {
-	plan, failure := run.plan(parent)
-	if failure != nil {
-		return nil, failure
+	plan, err := run.plan(parent)
+	if err != nil {
+		return nil, err
 	}
 	steering, stop := context.WithCancel(parent)
 	defer stop()
@@ -123,9 +123,9 @@
 		if each.rate == 0 {
 			continue
 		}
-		template, failure := plan.Template(run.Tenant, each.kind)
-		if failure != nil {
-			return nil, failure
+		template, err := plan.Template(run.Tenant, each.kind)
+		if err != nil {
+			return nil, err
 		}
 		group.Go(func() { run.arrive(parent, each.kind, each.rate, template, run.Seed+uint64(number)) })
 	}
@@ -137,13 +137,13 @@
 func (run *Run) get(parent context.Context, address, path string, into any) error {
 	bounded, cancel := context.WithTimeout(parent, 5*time.Second)
 	defer cancel()
-	request, failure := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+address+path, nil)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.SettingBad, address)
+	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return mishap.Wrap(err, mishap.SettingBad, address)
 	}
-	answer, failure := run.client.Do(request)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	answer, err := run.client.Do(request)
+	if err != nil {
+		return mishap.Wrap(err, mishap.CircuitLost, address)
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
@@ -154,13 +154,13 @@
 
 func (run *Run) plan(parent context.Context) (configuration.Plan, error) {
 	var shown core.Shown
-	var failure error
+	var err error
 	for _, address := range run.Cores {
-		if failure = run.get(parent, address, "/v1/configuration", &shown); failure == nil {
+		if err = run.get(parent, address, "/v1/configuration", &shown); err == nil {
 			return shown.Plan, nil
 		}
 	}
-	return shown.Plan, failure
+	return shown.Plan, err
 }
 
 // steer keeps to the routers that say they are ready, as the platform does.
