--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -45,9 +45,9 @@
 // ask goes from core to core until one answers. A request that changes something
 // goes on to the next only if it can't have been taken.
 func (target Target) ask(method, path string, body any) ([]byte, error) {
-	text, failure := json.Marshal(body)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.Malformed, path)
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Malformed, path)
 	}
 	client := target.client()
 	last := mishap.New(mishap.SettingBad, "--core is needed at least once")
@@ -57,38 +57,38 @@
 			time.Sleep(300 * time.Millisecond)
 		}
 		address := target.Cores[turn%len(target.Cores)]
-		if failure := circuit.CheckAddress(address); failure != nil {
-			return nil, failure
+		if err := circuit.CheckAddress(address); err != nil {
+			return nil, err
 		}
-		found, again, failure := try(client, method, address, path, text)
-		if failure == nil {
+		found, again, err := try(client, method, address, path, text)
+		if err == nil {
 			return found, nil
 		}
-		if last = failure; !again {
+		if last = err; !again {
 			break
 		}
 	}
 	return nil, last
 }
 
-func try(client *http.Client, method, address, path string, text []byte) (found []byte, again bool, failure error) {
-	request, failure := http.NewRequest(method, "http://"+address+path, bytes.NewReader(text))
-	if failure != nil {
-		return nil, false, mishap.Wrap(failure, mishap.SettingBad, address)
+func try(client *http.Client, method, address, path string, text []byte) (found []byte, again bool, err error) {
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(text))
+	if err != nil {
+		return nil, false, mishap.Wrap(err, mishap.SettingBad, address)
 	}
 	request.GetBody = nil
-	answer, failure := client.Do(request)
-	if failure != nil {
+	answer, err := client.Do(request)
+	if err != nil {
 		code := mishap.OutcomeUnknown
-		if again = errors.Is(failure, syscall.ECONNREFUSED) || method == http.MethodGet; again {
+		if again = errors.Is(err, syscall.ECONNREFUSED) || method == http.MethodGet; again {
 			code = mishap.CircuitLost
 		}
-		return nil, again, mishap.Wrap(failure, code, address)
+		return nil, again, mishap.Wrap(err, code, address)
 	}
 	defer answer.Body.Close()
-	found, failure = io.ReadAll(io.LimitReader(answer.Body, 64<<20))
-	if failure != nil {
-		return nil, false, mishap.Wrap(failure, mishap.OutcomeUnknown, address)
+	found, err = io.ReadAll(io.LimitReader(answer.Body, 64<<20))
+	if err != nil {
+		return nil, false, mishap.Wrap(err, mishap.OutcomeUnknown, address)
 	}
 	if answer.StatusCode == http.StatusOK {
 		return found, false, nil
@@ -102,9 +102,9 @@
 
 // Get asks and reads the answer.
 func (target Target) Get(path string, into any) error {
-	found, failure := target.ask(http.MethodGet, path, nil)
-	if failure != nil {
-		return failure
+	found, err := target.ask(http.MethodGet, path, nil)
+	if err != nil {
+		return err
 	}
 	return mishap.Wrap(json.Unmarshal(found, into), mishap.Garbage, path)
 }
@@ -124,18 +124,18 @@
 	request.Expected = uint64(change.Expect)
 	if change.Expect < 0 && !request.Whichever {
 		var shown core.Shown
-		if failure := change.Get("/v1/configuration", &shown); failure != nil {
-			return failure
+		if err := change.Get("/v1/configuration", &shown); err != nil {
+			return err
 		}
 		request.Expected = shown.Sequence
 	}
-	found, failure := change.ask(http.MethodPost, "/v1/operations", request)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.CodeOf(failure, mishap.OutcomeUnknown), "operation key "+request.Key)
+	found, err := change.ask(http.MethodPost, "/v1/operations", request)
+	if err != nil {
+		return mishap.Wrap(err, mishap.CodeOf(err, mishap.OutcomeUnknown), "operation key "+request.Key)
 	}
 	var outcome configuration.Outcome
-	if failure := json.Unmarshal(found, &outcome); failure != nil {
-		return mishap.Wrap(failure, mishap.OutcomeUnknown, "operation key "+request.Key)
+	if err := json.Unmarshal(found, &outcome); err != nil {
+		return mishap.Wrap(err, mishap.OutcomeUnknown, "operation key "+request.Key)
 	}
 	fmt.Printf("in force as sequence %d (operation key %s)\n", outcome.Sequence, request.Key)
 	return nil
@@ -152,12 +152,12 @@
 
 // Run sends the document.
 func (apply *Apply) Run() error {
-	text, failure := os.ReadFile(apply.Arguments.File)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.SettingBad, "file")
+	text, err := os.ReadFile(apply.Arguments.File)
+	if err != nil {
+		return mishap.Wrap(err, mishap.SettingBad, "file")
 	}
-	if _, failure := configuration.Expand(string(text), nil); failure != nil {
-		return failure
+	if _, err := configuration.Expand(string(text), nil); err != nil {
+		return err
 	}
 	if apply.Check {
 		fmt.Println("the document can be applied")
@@ -245,8 +245,8 @@
 // Run prints one line an engine.
 func (list *List) Run() error {
 	var listed []core.Listed
-	if failure := list.Get("/v1/services/"+list.Arguments.Service+"/engines", &listed); failure != nil {
-		return failure
+	if err := list.Get("/v1/services/"+list.Arguments.Service+"/engines", &listed); err != nil {
+		return err
 	}
 	fmt.Printf("%-16s %-12s %-22s %-8s %-5s %s\n", "engine", "hall", "address", "part", "live", "leaving")
 	for _, each := range listed {
@@ -266,11 +266,11 @@
 
 // Run marks the engine.
 func (leave *Leave) Run() error {
-	_, failure := leave.ask(http.MethodPost, "/v1/services/"+leave.Arguments.Service+"/engines/"+leave.Arguments.Engine+"/leave", nil)
-	if failure == nil {
+	_, err := leave.ask(http.MethodPost, "/v1/services/"+leave.Arguments.Service+"/engines/"+leave.Arguments.Engine+"/leave", nil)
+	if err == nil {
 		fmt.Println("listed as leaving")
 	}
-	return failure
+	return err
 }
 
 // Show prints what is in force, or what became of an operation.
@@ -285,14 +285,14 @@
 	if show.Operation != "" {
 		path = "/v1/operations/" + show.Operation
 	}
-	found, failure := show.ask(http.MethodGet, path, nil)
-	if failure != nil {
-		return failure
+	found, err := show.ask(http.MethodGet, path, nil)
+	if err != nil {
+		return err
 	}
 	var pretty bytes.Buffer
 	if json.Indent(&pretty, found, "", "  ") == nil {
 		found = pretty.Bytes()
 	}
-	_, failure = os.Stdout.Write(found)
-	return mishap.Wrap(failure, mishap.StartFailed, "print")
+	_, err = os.Stdout.Write(found)
+	return mishap.Wrap(err, mishap.StartFailed, "print")
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -22,8 +22,8 @@
 	routers, engines := map[string]core.RouterHeard{}, map[string]catalogue.Report{}
 	for _, address := range status.Cores {
 		var overview core.Overview
-		if failure := status.alone(address).Get("/v1/status", &overview); failure != nil {
-			fmt.Printf("%s: %s\n", address, mishap.Text(failure))
+		if err := status.alone(address).Get("/v1/status", &overview); err != nil {
+			fmt.Printf("%s: %s\n", address, mishap.Text(err))
 			continue
 		}
 		reached++
@@ -99,7 +99,7 @@
 // router prints what one router works by, and how it stands against the cores.
 func (status *Status) router(heard core.RouterHeard, newest uint64) {
 	var overview router.Overview
-	if failure := status.alone(heard.Public).Get("/v1/status", &overview); failure != nil {
+	if err := status.alone(heard.Public).Get("/v1/status", &overview); err != nil {
 		fmt.Printf("router %s  %s  hall %s  last heard %d ms ago  does not answer\n", heard.Name, heard.Public, heard.Hall, heard.Ago/1000)
 		return
 	}
