--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,14 +62,14 @@
 
 // New opens all sockets, on ports that the system gives.
 func New(settings Settings) (*Fleet, error) {
-	if failure := settings.Check(); failure != nil {
-		return nil, failure
+	if err := settings.Check(); err != nil {
+		return nil, err
 	}
 	fleet := &Fleet{Settings: settings, failures: make(chan error, settings.Cores+settings.Routers+settings.Engines)}
 	for range settings.Cores {
-		listeners, failure := open()
-		if failure != nil {
-			return nil, failure
+		listeners, err := open()
+		if err != nil {
+			return nil, err
 		}
 		fleet.cores = append(fleet.cores, listeners)
 		fleet.seeds = append(fleet.seeds, listeners.Inner.Addr().String())
@@ -91,8 +91,8 @@
 
 func (fleet *Fleet) launch(run func() error) {
 	fleet.group.Go(func() {
-		if failure := run(); failure != nil {
-			fleet.failures <- failure
+		if err := run(); err != nil {
+			fleet.failures <- err
 		}
 	})
 }
@@ -103,39 +103,39 @@
 	defer stop()
 	data := fleet.Data
 	if data == "" {
-		folder, failure := os.MkdirTemp("", "coursepass-fleet-")
-		if failure != nil {
-			return mishap.Wrap(failure, mishap.StartFailed, "data folder")
+		folder, err := os.MkdirTemp("", "coursepass-fleet-")
+		if err != nil {
+			return mishap.Wrap(err, mishap.StartFailed, "data folder")
 		}
 		defer os.RemoveAll(folder)
 		data = folder
 	}
 	for number, listeners := range fleet.cores {
 		place, inner := fleet.place("core", number, listeners)
-		each, failure := core.New(core.Settings{
+		each, err := core.New(core.Settings{
 			Place: place, Inner: inner, Lengths: fleet.Lengths, Rewrite: 16,
 			Data: filepath.Join(data, place.Name),
 		}, setting.Incarnation(), circuit.System)
-		if failure != nil {
-			return failure
+		if err != nil {
+			return err
 		}
 		fleet.launch(func() error { return each.Run(running, listeners) })
 	}
 	for number := range fleet.Routers {
-		if failure := fleet.startRouter(running, number); failure != nil {
-			return failure
+		if err := fleet.startRouter(running, number); err != nil {
+			return err
 		}
 	}
 	for number := range fleet.Engines {
-		if failure := fleet.startEngine(running, number); failure != nil {
-			return failure
+		if err := fleet.startEngine(running, number); err != nil {
+			return err
 		}
 	}
 	fleet.show()
 	go fleet.configure()
 	select {
-	case failure := <-fleet.failures:
-		return failure
+	case err := <-fleet.failures:
+		return err
 	case <-parent.Done():
 	}
 	stop()
@@ -144,14 +144,14 @@
 }
 
 func (fleet *Fleet) startRouter(running context.Context, number int) error {
-	listeners, failure := open()
-	if failure != nil {
-		return failure
+	listeners, err := open()
+	if err != nil {
+		return err
 	}
 	place, inner := fleet.place("router", number, listeners)
-	each, failure := router.New(router.Settings{Place: place, Inner: inner, Grace: 2000, Fresh: 1600, Silence: 1000}, setting.Incarnation(), circuit.System)
-	if failure != nil {
-		return failure
+	each, err := router.New(router.Settings{Place: place, Inner: inner, Grace: 2000, Fresh: 1600, Silence: 1000}, setting.Incarnation(), circuit.System)
+	if err != nil {
+		return err
 	}
 	fleet.RouterAddresses = append(fleet.RouterAddresses, place.Public)
 	fleet.launch(func() error { return each.Run(running, listeners) })
@@ -159,17 +159,17 @@
 }
 
 func (fleet *Fleet) startEngine(running context.Context, number int) error {
-	listener, failure := circuit.System.Listen("127.0.0.1:0")
-	if failure != nil {
-		return failure
+	listener, err := circuit.System.Listen("127.0.0.1:0")
+	if err != nil {
+		return err
 	}
 	settings := engine.Settings{
 		Name: fmt.Sprintf("engine-%d", number), Hall: fleet.Halls[number%len(fleet.Halls)], Service: fleet.Service, Version: fleet.Version,
 		Address: listener.Addr().String(), Cores: fleet.CoreAddresses, Slots: 8, Read: 20, Write: 8000, HandOver: 3000, Keep: 5000, Lease: fleet.Lease,
 	}
-	each, failure := engine.New(settings, engine.NewObserver(fleet.LeaseSpan()), circuit.System)
-	if failure != nil {
-		return failure
+	each, err := engine.New(settings, engine.NewObserver(fleet.LeaseSpan()), circuit.System)
+	if err != nil {
+		return err
 	}
 	fleet.launch(func() error { return each.Run(running, listener) })
 	return nil
@@ -193,12 +193,12 @@
 	apply.Arguments.File = fleet.Configuration
 	begun := schedule.NewClock()
 	for begun.Now() < 30*schedule.Second {
-		failure := apply.Run()
-		if failure == nil {
+		err := apply.Run()
+		if err == nil {
 			return
 		}
-		if code := mishap.CodeOf(failure, mishap.OutcomeUnknown); code != mishap.NotOwner && code != mishap.NoMajority && code != mishap.CircuitLost {
-			fmt.Println(mishap.Text(failure))
+		if code := mishap.CodeOf(err, mishap.OutcomeUnknown); code != mishap.NotOwner && code != mishap.NoMajority && code != mishap.CircuitLost {
+			fmt.Println(mishap.Text(err))
 			return
 		}
 	}
