--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -67,9 +67,9 @@
 func newHollow(ground Ground, number int, place string, seeds []string, shared *sharedAdvance) (*hollow, net.Listener, error) {
 	name := fmt.Sprintf("hollow-%d", number)
 	network := ground.Network(name)
-	listener, failure := network.Listen(ground.Address(name, "inner"))
-	if failure != nil {
-		return nil, nil, failure
+	listener, err := network.Listen(ground.Address(name, "inner"))
+	if err != nil {
+		return nil, nil, err
 	}
 	made := &hollow{
 		Machine: machine.Machine{
@@ -146,9 +146,9 @@
 
 // Accept counts a circuit.
 func (listener countingListener) Accept() (net.Conn, error) {
-	accepted, failure := listener.Listener.Accept()
-	if failure != nil {
-		return nil, failure
+	accepted, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
 	listener.served.circuits.Add(1)
 	return countingCircuit{accepted, listener.served}, nil
@@ -156,14 +156,14 @@
 
 // Read counts what comes in.
 func (circuit countingCircuit) Read(buffer []byte) (int, error) {
-	count, failure := circuit.Conn.Read(buffer)
+	count, err := circuit.Conn.Read(buffer)
 	circuit.served.bytes.Add(int64(count))
-	return count, failure
+	return count, err
 }
 
 // Write counts what goes out.
 func (circuit countingCircuit) Write(buffer []byte) (int, error) {
-	count, failure := circuit.Conn.Write(buffer)
+	count, err := circuit.Conn.Write(buffer)
 	circuit.served.bytes.Add(int64(count))
-	return count, failure
+	return count, err
 }
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -34,17 +34,17 @@
 }
 
 func (stand *stand) get(address, path string, into any) error {
-	answer, failure := stand.client.Get("http://" + address + path)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	answer, err := stand.client.Get("http://" + address + path)
+	if err != nil {
+		return mishap.Wrap(err, mishap.CircuitLost, address)
 	}
 	defer answer.Body.Close()
 	return mishap.Wrap(json.NewDecoder(answer.Body).Decode(into), mishap.Garbage, address)
 }
 
 func (stand *stand) post(path string, body []byte) bool {
-	answer, failure := stand.client.Post("http://"+stand.coreSides[0].public+path, "application/json", bytes.NewReader(body))
-	if failure != nil {
+	answer, err := stand.client.Post("http://"+stand.coreSides[0].public+path, "application/json", bytes.NewReader(body))
+	if err != nil {
 		return false
 	}
 	answer.Body.Close()
@@ -131,9 +131,9 @@
 
 // processor parts the processor time of a profile by the label of the role.
 func processor(taken []byte) (map[string]float64, error) {
-	read, failure := profile.ParseData(taken)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.Garbage, "profile")
+	read, err := profile.ParseData(taken)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Garbage, "profile")
 	}
 	seconds := map[string]float64{}
 	for _, sample := range read.Sample {
@@ -181,8 +181,8 @@
 	before, begun, processorBegan := stand.count(), stand.clock.Now(), used()
 	var taken bytes.Buffer
 	if stand.Profiled {
-		if failure := pprof.StartCPUProfile(&taken); failure != nil {
-			return nil, mishap.Wrap(failure, mishap.StartFailed, "profile")
+		if err := pprof.StartCPUProfile(&taken); err != nil {
+			return nil, mishap.Wrap(err, mishap.StartFailed, "profile")
 		}
 		defer pprof.StopCPUProfile()
 	}
@@ -205,9 +205,9 @@
 	}
 	seconds := map[string]float64{}
 	if stand.Profiled {
-		var failure error
-		if seconds, failure = processor(taken.Bytes()); failure != nil {
-			return nil, failure
+		var err error
+		if seconds, err = processor(taken.Bytes()); err != nil {
+			return nil, err
 		}
 	}
 	return stand.figures(before, after, span, total, seconds, acknowledged, everywhere, restarted), nil
--- a/internal/scale/registry.go
+++ b/internal/scale/registry.go
@@ -59,9 +59,9 @@
 	if !stand.Reports {
 		return nil
 	}
-	listener, failure := stand.Network("engines").Listen("0.0.0.0:" + registryPort)
-	if failure != nil {
-		return failure
+	listener, err := stand.Network("engines").Listen("0.0.0.0:" + registryPort)
+	if err != nil {
+		return err
 	}
 	stand.launch("engines", func(running context.Context) error {
 		return circuit.Serve(running, counting(listener, &registry.served), registry, schedule.Second)
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -42,14 +42,14 @@
 				return fmt.Sprintf("10.0.0.%d:%d", place(machine), len(socket))
 			},
 		}
-		var failure error
-		figures, failure = scale.Measure(test.Context(), ground, settings(sizes), sizes)
+		var err error
+		figures, err = scale.Measure(test.Context(), ground, settings(sizes), sizes)
 		for machine := range places {
 			fabric.Kill(machine)
 		}
 		synctest.Wait()
-		if failure != nil {
-			test.Error(mishap.Text(failure))
+		if err != nil {
+			test.Error(mishap.Text(err))
 		}
 	})
 	return figures
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -101,8 +101,8 @@
 		return bad("--value: %d values are not between 1 and %d", len(settings.Values), mostValues)
 	}
 	for _, sizes := range settings.sweep() {
-		if failure := settings.fits(sizes); failure != nil {
-			return failure
+		if err := settings.fits(sizes); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -161,21 +161,21 @@
 // Run measures all sizes, prints the table and writes what was asked for.
 func (settings *Settings) Run() error {
 	log.DefaultLogger.SetLevel(log.ErrorLevel)
-	if failure := settings.Check(); failure != nil {
-		return failure
+	if err := settings.Check(); err != nil {
+		return err
 	}
 	parent, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	table := &Table{Vary: settings.Vary}
 	for _, sizes := range settings.sweep() {
 		bounded, cancel := context.WithTimeout(parent, time.Duration(60+2*settings.Seconds)*time.Second)
-		figures, failure := Measure(bounded, Loopback, *settings, sizes)
+		figures, err := Measure(bounded, Loopback, *settings, sizes)
 		cancel()
-		if failure != nil {
+		if err != nil {
 			if len(table.Rows) > 0 {
 				table.Print(os.Stdout)
 			}
-			return failure
+			return err
 		}
 		table.Rows = append(table.Rows, figures)
 	}
--- a/internal/scale/stand.go
+++ b/internal/scale/stand.go
@@ -81,8 +81,8 @@
 func (stand *stand) launch(role string, act func(context.Context) error) {
 	labelled(stand.running, role, func(running context.Context) {
 		stand.group.Go(func() {
-			if failure := act(running); failure != nil && running.Err() == nil {
-				stand.failures <- failure
+			if err := act(running); err != nil && running.Err() == nil {
+				stand.failures <- err
 			}
 		})
 	})
@@ -91,28 +91,28 @@
 // begin brings the whole fleet up and waits until all daemons hold what is in force.
 func (stand *stand) begin(folder string) error {
 	stand.registry = newRegistry(stand.Settings, stand.Sizes)
-	if failure := stand.registry.begin(stand); failure != nil {
-		return failure
+	if err := stand.registry.begin(stand); err != nil {
+		return err
 	}
-	if failure := stand.beginCores(folder); failure != nil {
-		return failure
+	if err := stand.beginCores(folder); err != nil {
+		return err
 	}
-	if failure := stand.await("a configuration", func() bool { return stand.configure(wholeRequest(stand.Sizes, stand.label+1, stand.label)) == nil }); failure != nil {
-		return failure
+	if err := stand.await("a configuration", func() bool { return stand.configure(wholeRequest(stand.Sizes, stand.label+1, stand.label)) == nil }); err != nil {
+		return err
 	}
 	if stand.Reports {
-		if failure := stand.enrol(); failure != nil {
-			return failure
+		if err := stand.enrol(); err != nil {
+			return err
 		}
 	}
 	for number := range stand.Real {
-		if failure := stand.beginRouter(number); failure != nil {
-			return failure
+		if err := stand.beginRouter(number); err != nil {
+			return err
 		}
 	}
 	for range stand.Daemons - stand.Real {
-		if failure := stand.bear(len(stand.hollows)); failure != nil {
-			return failure
+		if err := stand.bear(len(stand.hollows)); err != nil {
+			return err
 		}
 		// Their reads are not to fall together.
 		time.Sleep((readEvery / schedule.Microseconds(stand.Daemons)).Duration())
@@ -124,9 +124,9 @@
 	var all []core.Listeners
 	for number := range stand.Settings.Cores {
 		name := fmt.Sprintf("core-%d", number)
-		listeners, failure := stand.listen(name)
-		if failure != nil {
-			return failure
+		listeners, err := stand.listen(name)
+		if err != nil {
+			return err
 		}
 		stand.seeds = append(stand.seeds, listeners.Inner.Addr().String())
 		stand.coreSides = append(stand.coreSides, &side{name: name, public: listeners.Public.Addr().String()})
@@ -135,13 +135,13 @@
 	}
 	for number, listeners := range all {
 		each := stand.coreSides[number]
-		made, failure := core.New(core.Settings{
+		made, err := core.New(core.Settings{
 			Place:   setting.Place{Name: each.name, Hall: stand.hall(number), Fleet: "coursepass", Public: each.public, Seeds: stand.seeds},
 			Inner:   setting.Inner{Inner: stand.seeds[number], Parts: 2},
 			Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Rewrite: 16, Data: filepath.Join(folder, each.name),
 		}, setting.Incarnation(), stand.Network(each.name))
-		if failure != nil {
-			return failure
+		if err != nil {
+			return err
 		}
 		if !stand.Reports {
 			made.Attach(stand.registry, stand.registry)
@@ -154,17 +154,17 @@
 
 func (stand *stand) beginRouter(number int) error {
 	name := fmt.Sprintf("router-%d", number)
-	listeners, failure := stand.listen(name)
-	if failure != nil {
-		return failure
+	listeners, err := stand.listen(name)
+	if err != nil {
+		return err
 	}
 	each := &side{name: name, public: listeners.Public.Addr().String()}
 	place := setting.Place{Name: each.name, Hall: stand.hall(number), Fleet: "coursepass", Public: each.public, Seeds: stand.seeds}
-	made, failure := router.New(router.Settings{
+	made, err := router.New(router.Settings{
 		Place: place, Inner: setting.Inner{Inner: listeners.Inner.Addr().String(), Parts: 2}, Fresh: 1600, Silence: 1000,
 	}, setting.Incarnation(), stand.Network(each.name))
-	if failure != nil {
-		return failure
+	if err != nil {
+		return err
 	}
 	if !stand.Reports {
 		made.Follow(carrier.New(carrier.Terms{Terms: pool.Terms{Router: each.name, Hall: place.Hall}}, stand.clock, nil))
@@ -178,9 +178,9 @@
 // bear begins a hollow router at a place in the list, in the stead of one that is there.
 func (stand *stand) bear(place int) error {
 	stand.births++
-	made, listener, failure := newHollow(stand.Ground, stand.births, stand.hall(place), stand.seeds, stand.shared)
-	if failure != nil {
-		return failure
+	made, listener, err := newHollow(stand.Ground, stand.births, stand.hall(place), stand.seeds, stand.shared)
+	if err != nil {
+		return err
 	}
 	labelled(stand.running, "hollow", func(labelled context.Context) {
 		running, stop := context.WithCancel(labelled)
@@ -199,21 +199,21 @@
 }
 
 func (stand *stand) configure(request configuration.Request) error {
-	outcome, failure := stand.cores[int(stand.label)%len(stand.cores)].Configure(stand.running, request)
-	if failure == nil && outcome.Code != mishap.Fine {
-		failure = mishap.New(outcome.Code, "%s", outcome.Text)
+	outcome, err := stand.cores[int(stand.label)%len(stand.cores)].Configure(stand.running, request)
+	if err == nil && outcome.Code != mishap.Fine {
+		err = mishap.New(outcome.Code, "%s", outcome.Text)
 	}
-	if failure == nil {
+	if err == nil {
 		stand.label = request.Routing.Label
 	}
-	return failure
+	return err
 }
 
 func (stand *stand) enrol() error {
 	for _, operation := range stand.registry.enrolments() {
 		text, _ := json.Marshal(operation.Engine)
-		if failure := stand.await("an engine's enrolment", func() bool { return stand.post("/v1/engines", text) }); failure != nil {
-			return failure
+		if err := stand.await("an engine's enrolment", func() bool { return stand.post("/v1/engines", text) }); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -253,8 +253,8 @@
 func (stand *stand) await(what string, found func() bool) error {
 	for !found() {
 		select {
-		case failure := <-stand.failures:
-			return failure
+		case err := <-stand.failures:
+			return err
 		case <-stand.running.Done():
 			return mishap.New(mishap.RunFailed, "not reached in time: %s", what)
 		case <-time.After(100 * time.Millisecond):
@@ -265,9 +265,9 @@
 
 // Measure brings up a fleet of one size, measures it and ends it.
 func Measure(parent context.Context, ground Ground, settings Settings, sizes Sizes) (Figures, error) {
-	folder, failure := os.MkdirTemp("", "coursepass-scale-")
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.StartFailed, "data folder")
+	folder, err := os.MkdirTemp("", "coursepass-scale-")
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.StartFailed, "data folder")
 	}
 	defer os.RemoveAll(folder)
 	running, stop := context.WithCancel(parent)
@@ -276,21 +276,21 @@
 		Ground: ground, Settings: settings, Sizes: sizes, clock: schedule.NewClock(), running: running, failures: make(chan error, 64),
 		shared: &sharedAdvance{made: map[[3]uint64][]byte{}}, client: &http.Client{Timeout: 2 * time.Second, Transport: transport},
 	}
-	figures, failure := stand.whole(folder)
+	figures, err := stand.whole(folder)
 	configured, engines := stand.states()
 	stop()
 	stand.client.CloseIdleConnections()
 	stand.group.Wait()
-	if failure != nil {
-		return nil, failure
+	if err != nil {
+		return nil, err
 	}
 	stand.hollows, stand.cores, stand.shared, stand.registry = nil, nil, nil, nil
 	return append(figures, sizes.weigh(configured, engines)...), nil
 }
 
 func (stand *stand) whole(folder string) (Figures, error) {
-	if failure := stand.begin(folder); failure != nil {
-		return nil, failure
+	if err := stand.begin(folder); err != nil {
+		return nil, err
 	}
 	return stand.measure()
 }
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -94,16 +94,16 @@
 
 // Write writes the table as CSV, and a plot of each figure that has a slope.
 func (table *Table) Write(folder string) error {
-	if failure := os.MkdirAll(folder, 0o755); failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, folder)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, folder)
 	}
 	name := "scale"
 	if table.Vary != "" {
 		name += "-" + table.Vary
 	}
-	file, failure := os.Create(filepath.Join(folder, name+".csv"))
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, folder)
+	file, err := os.Create(filepath.Join(folder, name+".csv"))
+	if err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, folder)
 	}
 	defer file.Close()
 	lines := csv.NewWriter(file)
@@ -121,8 +121,8 @@
 		return nil
 	}
 	for _, figure := range table.Rows[0] {
-		if failure := table.plot(filepath.Join(folder, name), figure.Name); failure != nil {
-			return failure
+		if err := table.plot(filepath.Join(folder, name), figure.Name); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -147,9 +147,9 @@
 		},
 	}
 	short := strings.NewReplacer(" ", "-", "/", "-a-", "%", "share").Replace(name)
-	file, failure := os.Create(path + "-" + short + ".svg")
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, path)
+	file, err := os.Create(path + "-" + short + ".svg")
+	if err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, path)
 	}
 	defer file.Close()
 	return mishap.Wrap(drawn.Render(chart.SVG, file), mishap.StartFailed, name)
