--- a/internal/claim/diary_test.go
+++ b/internal/claim/diary_test.go
@@ -119,3 +119,43 @@
 		test.Errorf("%d claims are known, not 1", known)
 	}
 }
+
+// Of three notes that no sync has covered, a loss of power leaves each whole, missing or
+// torn: the diary opens with those before the first that is not whole, and goes on.
+func TestADiaryAfterALossOfPower(test *testing.T) {
+	folder := test.TempDir()
+	path := filepath.Join(folder, "claims")
+	var content []byte
+	var ends []int
+	for number := range 3 {
+		diary := claim.OpenDiary(journal.OperatingSystem{}, folder)
+		if err := noted(diary, fmt.Sprint("key-", number)); err != nil {
+			test.Fatal(err)
+		}
+		diary.Close()
+		content, _ = os.ReadFile(path)
+		ends = append(ends, len(content))
+	}
+	for state := range 27 {
+		left, whole, begun := append([]byte(nil), content...), 0, 0
+		for place, kind := range []int{state % 3, state / 3 % 3, state / 9} {
+			if spoilt := []int{ends[place], begun, (begun + ends[place]) / 2}[kind]; spoilt < ends[place] {
+				clear(left[spoilt:ends[place]])
+			} else if whole == place {
+				whole++
+			}
+			begun = ends[place]
+		}
+		if err := os.WriteFile(path, left, 0o644); err != nil {
+			test.Fatal(err)
+		}
+		diary := claim.OpenDiary(journal.OperatingSystem{}, folder)
+		if err := noted(diary, "later"); err != nil || diary.Due() {
+			test.Errorf("state %d: no note is taken: %v", state, err)
+		}
+		diary.Close()
+		if known := recalled(journal.OperatingSystem{}, folder); known != whole+1 {
+			test.Errorf("state %d: %d claims are known, not %d", state, known, whole+1)
+		}
+	}
+}
