Recover before voting in a slot for which the disk's log was not kept

Cause: a core that lost its seat while it was cut off and was given another one started on the log of its former slot. That log's bindings put back those by which the new slot was another's, so the member ended at once and was begun again, 6 to 7 times a second; and as the log was whole, it skipped recovery: had the epochs fitted, it would have voted and granted leases at once, with the promises of its former slot and without those given in the new one. Change: bindings of the log count only if they are no older than those the member is started with, and a log kept for another slot makes the member recover. A log without bindings is that of a founding seat, as before: a founding seat that was lost while its core was cut off, and another one given to it, is not told apart.

--- a/internal/part/binding.go
+++ b/internal/part/binding.go
@@ -103,6 +103,14 @@
 	return found, read && len(found.Seats) > 0
 }
 
+// keptFor tells whether a disk's log was kept for this slot. One that was kept for another
+// slot remembers that slot's promises and leases, and nothing of those given in this one.
+// A log without bindings is that of a founding seat.
+func keptFor(past journal.Past, place Place) bool {
+	held, read := LastBindings(past)
+	return !read || held.Slot(place.Me) == place.Self
+}
+
 // Bindings are those that count here now.
 func (member *Member) Bindings() Bindings { return member.bindings }
 
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -79,6 +79,9 @@
 	member.apply()
 	member.output.Applied = member.applied > 0
 	member.rebind()
+	if place.Bindings.Epoch > member.bindings.Epoch {
+		member.bindings = place.Bindings
+	}
 	member.voter = grant.NewVoter(place.Terms, now, founding)
 	machine, sends := election.Start(place.Place, now, past.Promised, !founding)
 	member.election = machine
@@ -86,7 +89,7 @@
 	switch {
 	case founding:
 		member.record(journal.Record{Kind: journal.Promise, Part: place.Part})
-	case !past.Whole:
+	case !past.Whole || !keptFor(past, place):
 		member.recover(now)
 	}
 	member.follow(now)
