Give hung calls up by measured patience, and use engines less that fail a part of their calls

Cause: an engine counted as silent only if it had answered nobody, so that one that answers others was waited for until the caller was gone; and any answer cleared an engine of its failures, so that one that fails a third of its calls was chosen as often as the others.

Change: each attempt has a patience of its own: twice what it is expected to take, and the lag that this router measures for its stage as TCP does for retransmissions, between 0.6 and 1 s. After it the attempt is given up if the request may go elsewhere and a token is taken for that; a prompt read always may. Else it waits on, and after twice the patience the engine has a fault, and others are told if it has answered calls meanwhile. Faults fade by half in 4 s and add to an engine's cost, twice for what may run once only; what all engines have in common counts against none. A stream that may be resumed is resumed after 0.8 s or two of its gaps without a piece; any other answer whose head is passed on is not given up any more. A process that stood still starts its patience anew.

--- a/internal/carrier/attempt.go
+++ b/internal/carrier/attempt.go
@@ -24,7 +24,7 @@
 			way.back(way.headed)
 			return anew
 		}
-		ticket, outcome := way.read(bounded, choice)
+		ticket, outcome := way.prefill(bounded, choice)
 		if outcome != port.Answered {
 			way.back(way.headed)
 			if bounded.Err() != nil {
@@ -61,25 +61,29 @@
 		return unpaid
 	}
 	way.step(relay.Decoding)
-	return way.make(bounded, choice, made)
+	return way.forward(bounded, choice, made)
 }
 
-// read has the reader read the prompt. It does not run the request, whatever becomes of it.
-func (way *way) read(bounded context.Context, choice pool.Choice) (port.Ticket, port.Outcome) {
+// prefill has the reader read the prompt. It does not run the request, whatever becomes of it.
+func (way *way) prefill(bounded context.Context, choice pool.Choice) (port.Ticket, port.Outcome) {
 	reader, began := choice.Reader, way.now()
 	way.pool.Reading(reader.Life, choice.Unread)
 	way.reads++
 	way.arrivals.read()
-	watched, done := way.watch(bounded, reader.Life, true)
+	// A first read may always be given up; a further one counts as an attempt.
+	may := way.reads == 1 || way.attempts+1 < way.route.Tries
+	patience := way.pool.Patience(began, reader.Life, pool.ReadStage)
+	watched, watch := way.watch(bounded, reader.Life, may, patience.Limit)
 	ticket, outcome, _ := way.carrier.driver.Read(watched, way.try(reader))
 	silent := watched.Err() != nil
-	done()
+	watch.end()
 	way.pool.Done(reader.Life)
 	now := way.now()
 	took := schedule.Microseconds(0)
 	if outcome == port.Answered {
 		way.arrivals.takenUp()
 		took = now - began
+		way.pool.Took(pool.ReadStage, patience, took)
 		way.pool.Heard(now, reader.Life, ticket.Load)
 	}
 	if outcome == port.Unsent {
@@ -121,8 +125,8 @@
 	}
 }
 
-// make has the writer make the answer, and passes it on.
-func (way *way) make(bounded context.Context, choice pool.Choice, made port.Try) verdict {
+// forward has the writer make the answer, and passes it on.
+func (way *way) forward(bounded context.Context, choice pool.Choice, made port.Try) verdict {
 	writer := choice.Writer
 	if choice.Split {
 		way.carrier.Split.Add(1)
@@ -146,13 +150,15 @@
 	}
 	way.pool.Reading(writer.Life, reads)
 	way.Leave()
-	watched, done := way.watch(bounded, writer.Life, way.route.MayRepeat())
-	defer done()
+	patience := way.pool.Patience(began, writer.Life, pool.RunStage)
+	watched, watch := way.watch(bounded, writer.Life, way.route.MayRepeat() && way.attempts < way.route.Tries, patience.Limit)
+	defer watch.end()
 	answer, outcome, _ := way.carrier.driver.Run(watched, made)
 	now := way.now()
 	way.pool.Reading(writer.Life, -reads)
 	if outcome == port.Answered {
 		way.pool.Heard(now, writer.Life, answer.Load)
+		way.pool.Took(pool.RunStage, patience, now-began)
 	}
 	if outcome != port.Answered {
 		if choice.Split && outcome != port.Unknown {
@@ -182,8 +188,8 @@
 		return again
 	}
 	defer answer.Body.Close()
-	return way.pass(bounded, writer, answer, func() {
-		done()
+	return way.pass(bounded, writer, answer, watch, func() {
+		watch.end()
 		answer.Body.Close()
 		ended()
 	})
--- a/internal/carrier/pass.go
+++ b/internal/carrier/pass.go
@@ -15,7 +15,7 @@
 const pieceLength = 16 << 10
 
 // pass passes an engine's answer on, as it comes.
-func (way *way) pass(bounded context.Context, writer port.Engine, answer port.Answer, leave func()) verdict {
+func (way *way) pass(bounded context.Context, writer port.Engine, answer port.Answer, watch *watch, leave func()) verdict {
 	good := answer.Status >= 200 && answer.Status < 300
 	if promised(answer.Status) {
 		// Such a status would promise a caller that nothing ran; the engine did not say so.
@@ -31,6 +31,7 @@
 		return broken
 	}
 	if !good && answer.Status >= 500 && !way.headed && way.route.MayRepeat() && way.attempts < way.route.Tries && bounded.Err() == nil {
+		way.pool.Fault(way.now(), writer.Life)
 		way.avoid[writer.Life] = true
 		return lost
 	}
@@ -46,9 +47,14 @@
 		way.carrier.starts.Note(way.now() - way.begun)
 		way.caller.Head(answer.Status, answer.Header, answer.Length)
 	}
+	if !good && answer.Status >= 500 {
+		way.pool.Fault(way.now(), writer.Life)
+	}
 	if good && way.route.Kind == route.Stream {
-		return way.events(bounded, writer, answer.Body, leave)
+		return way.events(bounded, writer, answer.Body, watch, leave)
 	}
+	// Nothing can go on behind what has been passed on.
+	watch.keep()
 	return way.copy(bounded, writer, answer.Body)
 }
 
@@ -85,12 +91,18 @@
 var ends = []byte("\n\n")
 
 // events passes whole events on, so that another run can go on behind the last one.
-func (way *way) events(bounded context.Context, writer port.Engine, body io.Reader, leave func()) verdict {
+func (way *way) events(bounded context.Context, writer port.Engine, body io.Reader, watch *watch, leave func()) verdict {
+	patience := max(2*way.route.Gap, streamPatience)
+	if !way.route.Resume {
+		watch.keep()
+	}
+	watch.alive(patience)
 	held := make([]byte, 0, pieceLength)
 	buffer := make([]byte, pieceLength)
 	for {
 		count, failure := body.Read(buffer)
 		if count > 0 {
+			watch.alive(patience)
 			way.pool.Alive(way.now(), writer.Life)
 		}
 		held = append(held, buffer[:count]...)
--- a/internal/carrier/way.go
+++ b/internal/carrier/way.go
@@ -144,7 +144,7 @@
 }
 
 func (way *way) wish() pool.Wish {
-	wish := pool.Wish{Prompt: way.call.Prompt, Length: len(way.call.Body), Avoid: way.avoid, Name: way.call.Identity, Homes: way.route.Homes}
+	wish := pool.Wish{Prompt: way.call.Prompt, Length: len(way.call.Body), Once: !way.route.MayRepeat(), Avoid: way.avoid, Name: way.call.Identity, Homes: way.route.Homes}
 	name := way.call.Identity
 	if count := len(way.call.Prompt); count > 1 {
 		name = way.call.Prompt[count-2].Name
--- a/internal/pool/account.go
+++ b/internal/pool/account.go
@@ -113,7 +113,9 @@
 func (pool *Pool) Doubt(now schedule.Microseconds, life string) {
 	pool.lock.Lock()
 	defer pool.lock.Unlock()
-	if each := pool.member(life); now-each.heard > doubtFresh {
+	each := pool.member(life)
+	each.fault(now, faultHeard)
+	if now-each.heard > doubtFresh {
 		each.doubt = max(each.doubt, now+doubtHeard)
 	}
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -136,7 +136,7 @@
 	queue := float64(reader.reading) + reader.strangers(now)*pool.mean
 	again := pool.readTime(max(tokens-own, 0), 1) * (againWeight - 1)
 	drawn := schedule.Microseconds(rank(wish.Name, reader.Life) % uint64(spread))
-	return pool.readTime(tokens+int(queue), 1) + first + pool.far(reader, wish.Length) + again + drawn
+	return pool.readTime(tokens+int(queue), 1) + first + pool.far(reader, wish.Length) + again + drawn + reader.penalty
 }
 
 // moveAcross is what it costs to move a prompt's memory to another hall: twice the time of a
--- a/internal/pool/engine.go
+++ b/internal/pool/engine.go
@@ -34,7 +34,12 @@
 	held    map[string]schedule.Microseconds
 	doubt   schedule.Microseconds
 	fails   int
-	sends   []schedule.Microseconds
+	// faults are how many requests it failed lately, as of faultsAt; penalty is what they add
+	// to its cost in the choice that is being made.
+	faults   float64
+	faultsAt schedule.Microseconds
+	penalty  schedule.Microseconds
+	sends    []schedule.Microseconds
 	// chill is until when the engine is taken for cold whatever the list says.
 	chill schedule.Microseconds
 	// owed is how many answers the engine has not ended, heard when it showed anything last.
@@ -81,6 +86,7 @@
 
 func (member *member) fail(now schedule.Microseconds) {
 	member.fails++
+	member.fault(now, 1)
 	pause := doubtLeast << min(member.fails-1, 3)
 	member.doubt = now + min(pause, doubtMost)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,11 +50,13 @@
 	read schedule.Microseconds
 	made schedule.Microseconds
 	away map[string]bool
+	// lags are how much longer than expected engines take, by stage.
+	lags [2]lag
 }
 
 // New is a pool without engines.
 func New(terms Terms) *Pool {
-	return &Pool{Terms: terms, routers: 1, members: map[string]*member{}, past: map[string]record{}, pace: 40, mean: 1500}
+	return &Pool{Terms: terms, routers: 1, members: map[string]*member{}, past: map[string]record{}, pace: 40, mean: 1500, lags: [2]lag{{lagStart, lagStart}, {lagStart, lagStart}}}
 }
 
 // Update takes the engines that are listed, the leader's contract, the halls that are
@@ -110,6 +112,8 @@
 	Length int
 	// Whole forbids reading and making at two engines.
 	Whole bool
+	// Once says that the request is lost if the engine fails that it runs at.
+	Once bool
 	// Name tells requests apart, so that routers that know nothing of an engine's load don't
 	// all choose the same one.
 	Name  string
@@ -192,7 +196,10 @@
 			writers = append(writers, each)
 		}
 	}
-	return pool.trusted(now, readers), pool.trusted(now, writers)
+	readers, writers = pool.trusted(now, readers), pool.trusted(now, writers)
+	pool.weigh(now, readers)
+	pool.weigh(now, writers)
+	return readers, writers
 }
 
 // admits tells whether a request may go to the engines of a hall as far as regions go.
@@ -283,7 +290,10 @@
 }
 
 func (pool *Pool) writing(now schedule.Microseconds, writer *member, wish Wish) schedule.Microseconds {
-	cost := schedule.Microseconds(pool.occupied(now, writer)*float64(runningCost)) + pool.far(writer, wish.Length)
+	cost := schedule.Microseconds(pool.occupied(now, writer)*float64(runningCost)) + pool.far(writer, wish.Length) + writer.penalty
+	if wish.Once {
+		cost += (onceWeight - 1) * writer.penalty
+	}
 	if pool.full(now, writer) {
 		cost += fullCost
 	}
