--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -231,6 +231,8 @@
 		if member.fetch == nil && now-member.heartbeat > 2*member.Delta {
 			member.prepare(now, round)
 		}
+	case member.election.Isolated():
+		// Whoever hears it is to wait for another leader, and must not renew its lease.
 	case member.stage == leading:
 		member.replicate(now)
 		member.release(now)
