Check simulated reads and refusals of leaders that are cut off

Change: the pure soak has its cores read the book all the while; a read that is confirmed must see each line that was acknowledged, by whichever core, before it began. The plays of a leader that is cut off also ask it for a refusal that depends on the state.

--- a/internal/simulation/cores.go
+++ b/internal/simulation/cores.go
@@ -60,6 +60,7 @@
 	stallEnds   schedule.Microseconds
 	gauges      map[int]*link.Gauge
 	waiting     map[[2]uint64]uint64
+	reads       []pendingRead
 	wakeAt      schedule.Microseconds
 	wakePlanned bool
 }
@@ -74,6 +75,8 @@
 	// AckedAt is when each line was acknowledged, by true time.
 	AckedAt map[uint64]schedule.Microseconds
 	Late    int
+	// Read counts the reads that were answered, and ReadLost those that could not be.
+	Read, ReadLost int
 }
 
 // Terms of simulated groups: δ 200 ms, lease-ms 3000.
@@ -119,6 +122,7 @@
 	core.wakePlanned = false
 	core.alive, core.frozen, core.unsynced, core.pending, core.syncing = true, 0, nil, nil, false
 	core.book, core.gauges, core.waiting = &Book{}, map[int]*link.Gauge{}, map[[2]uint64]uint64{}
+	core.reads = nil
 	for slot := range place.Slots {
 		core.gauges[slot] = &link.Gauge{}
 	}
@@ -203,6 +207,7 @@
 	if output.Lost {
 		clear(core.waiting)
 	}
+	core.answerReads()
 }
 
 // sync gives the disk all that waits for it at once, as the journal does.
--- a/internal/simulation/soak.go
+++ b/internal/simulation/soak.go
@@ -34,6 +34,7 @@
 	}
 	soak.Every(40*schedule.Millisecond, func() bool {
 		soak.Cores[world.Chance.IntN(3)].Propose()
+		soak.Cores[world.Chance.IntN(3)].BeginRead()
 		return true
 	})
 	return soak
--- a/internal/simulation/stage_contact_test.go
+++ b/internal/simulation/stage_contact_test.go
@@ -31,6 +31,13 @@
 	return view.Sequence, err == nil
 }
 
+// refusedAt asks one core for what only the state forbids, and says whether it was refused.
+func (stage *stage) refusedAt(name string) (string, bool) {
+	request := configuration.Request{Kind: configuration.Evacuate, Key: rand.Text(), Whichever: true, Hall: "nowhere"}
+	outcome, err := stage.cores[name].Configure(context.Background(), request)
+	return outcome.Text, err == nil && outcome.Code != mishap.Fine
+}
+
 // changedBy has a change acknowledged by one of some cores, and says its sequence.
 func (stage *stage) changedBy(names []string, within time.Duration) (uint64, bool) {
 	request := configuration.Request{Kind: configuration.Evacuate, Key: rand.Text(), Whichever: true, Hall: stage.halls[2]}
@@ -104,6 +111,9 @@
 			if sequence, read := stage.readAt(leader); read && (hears != all || sequence < known) {
 				test.Errorf("%v after the cut it told sequence %d, and %d was acknowledged", time.Since(begun), sequence, known)
 			}
+			if told, refused := stage.refusedAt(leader); refused && hears != all {
+				test.Errorf("%v after the cut it refused by its own view: %s", time.Since(begun), told)
+			}
 			overview := stage.overview(public)
 			for _, part := range overview.Parts[:min(1, len(overview.Parts))] {
 				if (part.Owner && hears != all || part.Current && hears == nothing) && time.Since(begun) > unconfirmedSpan {
