--- a/internal/election/contact_test.go
+++ b/internal/election/contact_test.go
@@ -224,3 +224,16 @@
 		}
 	}
 }
+
+// A slot that was away hears of the later round from whoever it asks, even from one that may
+// not answer as a candidate.
+func TestAPingOfAnOldRoundIsAnsweredWithTheLaterOne(test *testing.T) {
+	machine, _ := election.Start(quorumOf(3), 0, 3, false)
+	for _, held := range []bool{false, true} {
+		machine.Hold(held)
+		sends := machine.Receive(1, 1, election.Message{Kind: election.PING, Round: 2})
+		if len(sends) == 0 || sends[0] != (election.Send{To: 1, Message: election.Message{Kind: election.START, Round: 3}}) {
+			test.Fatalf("held %v: a PING of round 2 in round 3 was answered with %v", held, sends)
+		}
+	}
+}
