Keep a recovering member in its slot while it catches up through older bindings

Cause: since catching up goes in steps, a newcomer's log passes through bindings older than those by which it got its slot; rebind took these for the ones that count, the member ended as one whose slot is another's, and began again. Change: while a member recovers, bindings older than those it was started with do not count. Test: TestARecoveringMemberKeepsItsSlotWhileItCatchesUp (fails without: unbound).

--- a/internal/part/binding.go
+++ b/internal/part/binding.go
@@ -143,6 +143,11 @@
 	if found, yes := LastBindings(member.Past); yes {
 		member.bindings = found
 	}
+	// A member that recovers catches up through bindings older than those by which it has
+	// its slot.
+	if member.recovery != nil && member.Place.Bindings.Epoch > member.bindings.Epoch {
+		member.bindings = member.Place.Bindings
+	}
 }
 
 // Unbound tells whether this member's slot is another's now.
