--- a/internal/simulation/catchup_test.go
+++ b/internal/simulation/catchup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"coursepass/internal/configuration"
 	"coursepass/internal/election"
@@ -26,6 +27,9 @@
 	sent    int
 	// largest is the largest message that was sent, in bytes of content.
 	largest int
+	// written are the bytes that went to the disk, used the processor time of the member.
+	written int
+	used    time.Duration
 }
 
 type replicas struct {
@@ -99,6 +103,7 @@
 		if !each.alive || each.life != life {
 			return
 		}
+		each.written += len(journal.Frame(nil, records))
 		for _, record := range records {
 			each.disk.Take(record)
 		}
@@ -135,7 +140,10 @@
 
 func (each *replica) receive(life uint64, message part.Message) {
 	if each.alive && each.life == life {
-		each.carry(each.member.Receive(each.fleet.Now(), message))
+		begun := threadTime()
+		output := each.member.Receive(each.fleet.Now(), message)
+		each.used += threadTime() - begun
+		each.carry(output)
 	}
 }
 
