--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -174,6 +174,15 @@
 		So(caller.code.Status(), ShouldEqual, 503)
 		So(caller.retry, ShouldBeGreaterThan, schedule.Microseconds(0))
 	})
+	Convey("a status that promises that nothing ran is not passed on without the engine's word", test, func() {
+		for _, status := range []int{408, 421, 429, 503} {
+			driver := &played{acts: []act{{outcome: port.Answered, status: status, body: "full"}}}
+			caller, _ := carry(made(driver, 2, false, contract.Both, contract.Both), call())
+			So(caller.status, ShouldEqual, 0)
+			So(caller.code, ShouldEqual, mishap.EndingUnknown)
+			So(len(driver.tries), ShouldEqual, 1)
+		}
+	})
 	Convey("an engine's own failure is passed on unchanged where it may not run again", test, func() {
 		driver := &played{acts: []act{{outcome: port.Answered, status: 500, body: "broken"}}}
 		caller, whole := carry(made(driver, 2, false, contract.Both), call())
