Give a newcomer a copy before its seat, and a wiped member its vote by agreement

Cause: a member without its disk stored and counted nothing for a whole lease, and a newcomer got a seat before it had a copy: until then the next loss left no majority. Besides, a candidate counted promises by its old bindings even where the log that it adopted had given a slot to another: with five slots two entries could be committed at one index.

Promises are counted under the adopted bindings. What a retired folder says counts no more. Older bindings never give back a seat that was lost.

Replaced tests: TestACopyIsOfferedOnce loses two disks, since one alone is now given a copy by the leader before a router offers any (the same bounds for each core). TestAKnownFaultIsSeen has another path, since the wiped member of the old one is no longer without the bindings.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,9 +165,12 @@
 // post sends a message for as long as this core runs: what it answers must not end with
 // the call that brought the question.
 func (core *Core) post(message part.Message) {
-	seat := core.shards[message.Part].seats.Load().Seats[message.To]
-	if !seat.Vacant() && seat.Address != core.seat.Address {
-		core.sender(seat.Address).send(core.running, message)
+	address := message.Address
+	if address == "" {
+		address = core.shards[message.Part].seats.Load().Seats[message.To].Address
+	}
+	if address != "" && address != core.seat.Address {
+		core.sender(address).send(core.running, message)
 	}
 }
 
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -130,7 +130,11 @@
 	overview := Overview{Name: core.Machine.Name, Hall: core.Machine.Hall, Identity: core.seat.Identity, Counters: core.counters()}
 	for _, shard := range core.shards {
 		if status := shard.standing(); status != nil {
-			overview.Parts = append(overview.Parts, *status)
+			shown := *status
+			if claims := shard.claims.Load(); claims != nil {
+				shown.ClaimsWhole = claims.whole(core.clock.Now())
+			}
+			overview.Parts = append(overview.Parts, shown)
 		}
 	}
 	return overview
--- a/internal/core/seek.go
+++ b/internal/core/seek.go
@@ -106,7 +106,11 @@
 	shard.Put(context, func() {
 		slot := bindings.Slot(shard.core.seat)
 		switch {
+		case bindings.Epoch < shard.seats.Load().Epoch:
+			// Older bindings may still give this daemon a seat that it has lost.
 		case bindings.Epoch <= shard.seats.Load().Epoch && (shard.member != nil || slot < 0):
+		case shard.member != nil && shard.member.Learning():
+			// The leader's entries tell it.
 		case shard.member == nil && slot >= 0:
 			log.Info().Str("core", shard.core.Machine.Name).Int("part", shard.index).Int("slot", slot).Uint64("epoch", bindings.Epoch).Msg("seat found")
 			shard.begin(context, bindings, false)
@@ -135,16 +139,12 @@
 	if joining.Reserve {
 		slot = shard.spare(now, bindings, joining.Daemon.Hall)
 	}
-	leaving := slot >= 0 && joining.Reserve && shard.core.drained(bindings.Seats[slot].Hall)
-	if slot < 0 || !bindings.Seats[slot].Vacant() && !joining.Override && !leaving && member.Absent(now, slot) < shard.core.patience(joining) {
+	if slot < 0 || bindings.Slot(joining.Daemon) >= 0 {
 		return
 	}
-	begun, output := member.Replace(now, slot, joining.Daemon, shard.core.LeaseSpan())
-	if begun {
-		log.Warn().Str("core", shard.core.Machine.Name).Int("part", shard.index).Int("slot", slot).Str("by", joining.Daemon.Name).
-			Str("address", joining.Daemon.Address).Msg("seat changes hands")
-	}
-	shard.carry(context, output)
+	leaving := joining.Reserve && shard.core.drained(bindings.Seats[slot].Hall)
+	entitled := bindings.Seats[slot].Vacant() || joining.Override || leaving || member.Absent(now, slot) >= shard.core.patience(joining)
+	shard.carry(context, member.Teach(now, slot, joining.Daemon, entitled))
 }
 
 // reservePatience is how long a seat's holder must be silent for a reserve to have it.
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -28,19 +28,21 @@
 
 // Status is what a core says of one part.
 type Status struct {
-	Part       int                   `json:"part"`
-	Slot       int                   `json:"slot"`
-	Epoch      uint64                `json:"epoch"`
-	Leader     int                   `json:"leader"`
-	Round      uint64                `json:"round"`
-	Promised   uint64                `json:"promised"`
-	Commit     uint64                `json:"commit"`
-	Sequence   uint64                `json:"sequence"`
-	Alone      bool                  `json:"alone"`
-	Owner      bool                  `json:"owner"`
-	Current    bool                  `json:"current"`
-	Recovering bool                  `json:"recovering"`
-	GrantLeft  schedule.Microseconds `json:"grantLeftMicroseconds"`
+	Part       int    `json:"part"`
+	Slot       int    `json:"slot"`
+	Epoch      uint64 `json:"epoch"`
+	Leader     int    `json:"leader"`
+	Round      uint64 `json:"round"`
+	Promised   uint64 `json:"promised"`
+	Commit     uint64 `json:"commit"`
+	Sequence   uint64 `json:"sequence"`
+	Alone      bool   `json:"alone"`
+	Owner      bool   `json:"owner"`
+	Current    bool   `json:"current"`
+	Recovering bool   `json:"recovering"`
+	// ClaimsWhole says that the one-shot keys of this slot are known, so that it may grant claims.
+	ClaimsWhole bool                  `json:"claimsWhole"`
+	GrantLeft   schedule.Microseconds `json:"grantLeftMicroseconds"`
 	// ConfirmedUntil is until when, on this core's clock, it may speak as owner.
 	ConfirmedUntil schedule.Microseconds `json:"-"`
 	QuietLeft      schedule.Microseconds `json:"quietLeftMicroseconds"`
@@ -102,13 +104,8 @@
 		shard.status.Store(&Status{Part: shard.index, Slot: slot, Leader: -1})
 		return
 	}
-	shard.state.Restore(shard.blank)
-	shard.published = 0
-	shard.offered.Store(0)
-	shard.begun++
-	remembered := newClaims(shard.core.Incarnation+shard.begun, shard.Clock.Now(), shard.core.Group(), slot)
-	shard.core.diary.Recall(shard.Clock.Now(), shard.index, remembered.Registry)
-	shard.claims.Store(remembered)
+	shard.renew()
+	shard.keepClaims(slot)
 	place := shard.core.place(shard.index, slot, bindings)
 	place.Life += shard.begun
 	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), first)
@@ -147,8 +144,12 @@
 
 func (shard *shard) receive(context context.Context, message part.Message) {
 	shard.Put(context, func() {
+		if shard.learns(message) {
+			shard.beginLearner(context, message.To)
+		}
 		if shard.member != nil {
 			shard.carry(context, shard.member.Receive(shard.Clock.Now(), message))
+			shard.graduates()
 		}
 	})
 }
@@ -201,11 +202,17 @@
 func (shard *shard) show(context context.Context, applied bool) {
 	member, now := shard.member, shard.Clock.Now()
 	seats := member.Bindings()
-	shard.seats.Store(&seats)
+	slot := member.Self
+	if member.Learning() {
+		slot = -1
+	}
+	if slot >= 0 || seats.Epoch >= shard.seats.Load().Epoch {
+		shard.seats.Store(&seats)
+	}
 	leader, round := member.Leader()
 	commit, current := member.Current()
 	status := &Status{
-		Part: shard.index, Slot: member.Self, Epoch: seats.Epoch, Leader: leader, Round: round, Promised: member.Round(),
+		Part: shard.index, Slot: slot, Epoch: seats.Epoch, Leader: leader, Round: round, Promised: member.Round(),
 		Commit: commit, Sequence: shard.state.Number(), Alone: member.Alone(now), Owner: member.Confirmed(now), Current: current && !member.Detached(now), Recovering: member.Recovering(),
 		ConfirmedUntil: member.ConfirmedUntil(now),
 	}
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -110,6 +110,8 @@
 	"tick:0:0 tick:0:0 tick:0:0 calm:0:15 order:1:0:1:0:operator0 tick:0:0 order:1:0:1:0:operator1 tick:0:0 tick:0:0 calm:0:15 seek:3:0 " +
 		"tick:0:0 deliver:0:0:2>1.ok.2 tick:0:0 isolate:0:0 tick:0:0 calm:0:2 heal:0:0 calm:0:2 seek:0:1 tick:0:0 tick:0:0 crash:1:0 tick:0:0 " +
 		"calm:0:15 restart:1:0 crash:2:0 wipe:2:0 restart:2:0 tick:0:0 calm:0:15",
+	"override:3:2 calm:0:2 tick:0:0 tick:0:0 tick:0:0 override:2:1 tick:0:0 tick:0:0 calm:0:15 crash:0:1 wipe:0:0 " +
+		"restart:0:0 calm:0:15 tick:0:0 override:1:0 tick:0:0 calm:0:9 crash:3:0 wipe:3:0 restart:3:0 calm:0:15",
 }
 
 // Observers that never see anything prove nothing: a known fault must be seen.
--- a/internal/explore/failure.go
+++ b/internal/explore/failure.go
@@ -1,6 +1,10 @@
 package explore
 
-import "coursepass/internal/part"
+import (
+	"fmt"
+
+	"coursepass/internal/part"
+)
 
 // fail lets a failure happen to a daemon, or end.
 func (world *World) fail(event Event, daemon *daemon) bool {
@@ -65,6 +69,7 @@
 		return false
 	}
 	daemon.wiped = true
+	daemon.seat.Identity = fmt.Sprintf("%s-%d", daemon.seat.Name, daemon.life)
 	clear(daemon.disk.Parts)
 	return true
 }
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// Forget takes back what a slot granted, since another daemon holds it now.
+func (holder *Holder) Forget(slot int) { holder.asked[slot] = 0 }
+
 // Until is when the majority's grant runs out.
 func (holder *Holder) Until() schedule.Microseconds {
 	ordered := slices.Sorted(slices.Values(holder.asked))
--- a/internal/part/accepting.go
+++ b/internal/part/accepting.go
@@ -35,6 +35,10 @@
 }
 
 func (member *Member) append(now schedule.Microseconds, message Message) {
+	if member.recovery != nil && message.Learner {
+		member.study(now, message)
+		return
+	}
 	if member.recovery != nil || member.ahead(message.Round) {
 		return
 	}
--- a/internal/part/binding.go
+++ b/internal/part/binding.go
@@ -35,6 +35,18 @@
 type Bindings struct {
 	Epoch uint64
 	Seats []Seat
+	// Retired are identities of data folders that have lost their slots: what they said
+	// may still arrive, and counts no more.
+	Retired []string
+}
+
+// retiredKept is how many retired identities are kept.
+const retiredKept = 64
+
+// sits tells whether a daemon speaks for a slot: it stands at the address of the seat, and
+// its data folder has not lost one.
+func (bindings Bindings) sits(slot int, daemon Seat) bool {
+	return bindings.Seats[slot].holds(daemon) && !slices.Contains(bindings.Retired, daemon.Identity)
 }
 
 // Founding are the bindings of a new fleet: the seeds in their order, and vacant seats
@@ -53,9 +65,13 @@
 }
 
 func (bindings Bindings) with(slot int, seat Seat) Bindings {
-	seats := slices.Clone(bindings.Seats)
+	seats, before := slices.Clone(bindings.Seats), bindings.Seats[slot].Identity
 	seats[slot] = seat
-	return Bindings{Epoch: bindings.Epoch + 1, Seats: seats}
+	retired := slices.DeleteFunc(slices.Clone(bindings.Retired), func(identity string) bool { return identity == seat.Identity })
+	if before != "" && before != seat.Identity {
+		retired = append(retired, before)
+	}
+	return Bindings{Epoch: bindings.Epoch + 1, Seats: seats, Retired: retired[max(0, len(retired)-retiredKept):]}
 }
 
 const (
@@ -151,7 +167,10 @@
 }
 
 // Unbound tells whether this member's slot is another's now.
-func (member *Member) Unbound() bool { return member.bindings.Slot(member.Me) != member.Self }
+func (member *Member) Unbound() bool {
+	taught := member.recovery != nil && (member.recovery.learner || member.recovery.taught)
+	return !taught && member.bindings.Slot(member.Me) != member.Self
+}
 
 // stranger tells whether an election's message is of a daemon that has no right to
 // the slot it speaks for. What a sender with later bindings says is believed.
@@ -160,18 +179,17 @@
 }
 
 func (member *Member) sits(message Message) bool {
-	return member.bindings.Seats[message.From].holds(message.Sender)
+	return member.bindings.sits(message.From, message.Sender)
 }
 
 func (member *Member) mayRebind() bool {
 	return member.Owns() && member.bindings.Epoch == member.settledBindings.Epoch && member.settled >= member.commit
 }
 
-func (member *Member) writeBindings(now schedule.Microseconds, bindings Bindings) Output {
+func (member *Member) writeBindings(now schedule.Microseconds, bindings Bindings) {
 	member.write(append([]byte{bindingsTag}, encode(bindings)...))
 	member.rebind()
 	member.replicate(now)
-	return member.take()
 }
 
 // Pin writes down the name that was heard at a seat's address, once, so that another
@@ -182,8 +200,9 @@
 	}
 	for slot, seat := range member.bindings.Seats {
 		heard := member.others[slot].sender
-		if seat.Name == "" && !seat.Vacant() && heard.Name != "" && heard.Address == seat.Address {
-			return member.writeBindings(now, member.bindings.with(slot, heard))
+		if heard.Name != "" && heard.Address == seat.Address && (seat.Name == "" || seat.Identity != heard.Identity) {
+			member.writeBindings(now, member.bindings.with(slot, heard))
+			return member.take()
 		}
 	}
 	return Output{}
@@ -218,14 +237,22 @@
 	return heard < member.majority()
 }
 
-// Replace gives a slot to another daemon, in two changes that each overlap with the
-// bindings before: first the seat is vacated, then it is given. A majority of seats
-// besides it must be held by daemons that answer: with three slots, both others. It says
-// whether a change was begun.
+// Replace gives a slot to a daemon at once, without a copy first; it says whether a change
+// was begun. Daemons use Teach; the exploration also seats empty ones.
 func (member *Member) Replace(now schedule.Microseconds, slot int, daemon Seat, patience schedule.Microseconds) (bool, Output) {
-	if !member.mayRebind() || slot == member.Self || slot < 0 || slot >= member.Slots || member.bindings.Slot(daemon) >= 0 {
+	if slot == member.Self || slot < 0 || slot >= member.Slots || member.bindings.Slot(daemon) >= 0 {
 		return false, Output{}
 	}
+	return member.replace(now, slot, daemon, patience), member.take()
+}
+
+// replace gives a slot to another daemon, in two changes that each overlap with the
+// bindings before: first the seat is vacated, then it is given. A majority of seats
+// besides it must be held by daemons that answer: with three slots, both others.
+func (member *Member) replace(now schedule.Microseconds, slot int, daemon Seat, patience schedule.Microseconds) bool {
+	if !member.mayRebind() {
+		return false
+	}
 	answering := 0
 	for other, seat := range member.bindings.Seats {
 		if other != slot && !seat.Vacant() && (other == member.Self || member.Absent(now, other) <= patience) {
@@ -233,11 +260,18 @@
 		}
 	}
 	if answering < member.majority() {
-		return false, Output{}
+		return false
+	}
+	seat := Seat{}
+	if member.bindings.Seats[slot].Vacant() {
+		seat = daemon
 	}
-	if !member.bindings.Seats[slot].Vacant() {
-		return true, member.writeBindings(now, member.bindings.with(slot, Seat{}))
+	other := follower{next: member.Base.Index + 1, sender: daemon, heard: now}
+	if member.learner != nil && member.learner.sender == daemon {
+		other.life = member.learner.life
 	}
-	member.others[slot] = follower{next: member.Base.Index + 1, sender: daemon, heard: now}
-	return true, member.writeBindings(now, member.bindings.with(slot, daemon))
+	member.others[slot] = other
+	member.holder.Forget(slot)
+	member.writeBindings(now, member.bindings.with(slot, seat))
+	return true
 }
--- a/internal/part/fetch.go
+++ b/internal/part/fetch.go
@@ -28,6 +28,8 @@
 	forLeading
 	// forRecovery brings a member that has lost its disk to what others have told.
 	forRecovery
+	// forLearning brings a learner to the snapshot that its leader has announced.
+	forLearning
 )
 
 // fetch is the content that a member asks another for, one question at a time.
@@ -131,6 +133,8 @@
 		return member.recovery == nil
 	case forLeading:
 		return member.stage != preparing || member.mine != fetch.round
+	case forLearning:
+		return member.recovery == nil || member.recovery.studied != fetch.round
 	}
 	return member.stage != following || member.Promised != fetch.round
 }
@@ -150,11 +154,14 @@
 // serve answers one question for content: the entries after an index, or else a piece of
 // the snapshot. Nothing is kept for the asker.
 func (member *Member) serve(message Message) {
-	if !member.sits(message) || message.Round > 0 && message.Round != member.Promised {
+	if !member.sits(message) && !member.teaches(message) || message.Round > 0 && message.Round != member.Promised {
 		member.transfers.Refused++
 		return
 	}
 	answer := Message{To: message.From, Kind: Content, Round: message.Round, Asked: message.Asked, Life: message.Life}
+	if member.teaches(message) {
+		answer.Address = message.Sender.Address
+	}
 	last, _ := member.Last()
 	if entries, round, held := member.span(message.Index); held || message.Index > last {
 		answer.Index, answer.IndexRound, answer.Entries = message.Index, round, bounded(entries, member.pieceSize())
@@ -240,7 +247,7 @@
 func (member *Member) proceed(now schedule.Microseconds) {
 	fetch := member.fetch
 	done := member.reaches(fetch.index, fetch.indexRound)
-	if fetch.purpose == forFollowing {
+	if fetch.purpose == forFollowing || fetch.purpose == forLearning {
 		done = fetch.common && fetch.next >= fetch.index
 	}
 	if !done {
@@ -253,10 +260,10 @@
 		member.prepare(now, fetch.round)
 	case forRecovery:
 		member.recovering(now)
-	case forFollowing:
+	case forFollowing, forLearning:
 		member.hold(Message{
 			To: fetch.from, Kind: Appended, Round: fetch.round, Asked: fetch.answering, Promised: member.Promised, Life: member.Life,
-			Accepted: true, Index: fetch.next, Commit: member.commit,
+			Accepted: true, Index: fetch.next, Commit: member.commit, Recovering: member.recovery != nil,
 		})
 	}
 }
--- a/internal/part/leading.go
+++ b/internal/part/leading.go
@@ -49,6 +49,9 @@
 		member.pull(now, fetch{purpose: forLeading, from: best.From, round: member.mine, index: best.Index, indexRound: best.IndexRound})
 		return
 	}
+	if !member.quorate(best) {
+		return
+	}
 	if best.From != member.Self {
 		member.adopt(best)
 	}
@@ -132,7 +135,16 @@
 }
 
 func (member *Member) send(now schedule.Microseconds, slot int) {
-	other := &member.others[slot]
+	message := member.compose(now, slot, &member.others[slot])
+	if slot == member.Self {
+		member.append(now, message)
+		return
+	}
+	member.output.Urgent = append(member.output.Urgent, message)
+}
+
+// compose makes the next Append for a follower, and notes what is on its way to it.
+func (member *Member) compose(now schedule.Microseconds, slot int, other *follower) Message {
 	message := Message{
 		To: slot, Kind: Append, Round: member.mine, Commit: member.commit,
 		Established: member.established(), Asked: now, Life: other.life, Part: member.Part, From: member.Self, Epoch: member.bindings.Epoch,
@@ -154,14 +166,14 @@
 	}
 	other.next += uint64(len(message.Entries))
 	other.sent, other.waiting, other.size = now, true, message.Size()
-	if slot == member.Self {
-		member.append(now, message)
-		return
-	}
-	member.output.Urgent = append(member.output.Urgent, message)
+	return message
 }
 
 func (member *Member) appended(now schedule.Microseconds, message Message) {
+	if message.Recovering {
+		member.learned(now, message)
+		return
+	}
 	if message.Promised > max(message.Round, member.Promised) {
 		member.overtaken(now, message.From, message.Promised)
 	}
--- /dev/null
+++ b/internal/part/learner.go
@@ -0,0 +1,228 @@
+package part
+
+import (
+	"coursepass/internal/election"
+	"coursepass/internal/grant"
+	"coursepass/internal/journal"
+	"coursepass/internal/schedule"
+)
+
+// learnerPatience is how long a learner may be silent until the leader gives it up.
+const learnerPatience = 2 * schedule.Second
+
+// learner is a daemon without a vote that the leader gives a copy of the log. What it
+// stores counts for nothing until a committed entry has given it the slot.
+type learner struct {
+	follower
+	slot int
+	// entitled says that the slot changes hands as soon as the learner has caught up.
+	entitled bool
+	// sentLife is the life that the last Append was sent to: only what is sent to its present
+	// life makes a learner a voter.
+	sentLife uint64
+}
+
+// StartLearner wakes a member that has no vote yet: the leader's entries are stored, and
+// it becomes a voter once it knows a committed entry that gives its slot to this daemon.
+func StartLearner(place Place, state State, past journal.Past, now schedule.Microseconds) (*Member, Output) {
+	member, _ := Start(place, state, past, now, false)
+	member.recover(now)
+	member.recovery.learner = true
+	output := member.take()
+	output.Urgent, output.Held = nil, nil
+	return member, output
+}
+
+// Learning tells whether this member holds no slot and only takes a copy.
+func (member *Member) Learning() bool { return member.recovery != nil && member.recovery.learner }
+
+// Teach has this leader give a daemon a copy, and the slot once it has caught up if it is
+// entitled to it. One daemon at a time is taught; one that is entitled comes first.
+func (member *Member) Teach(now schedule.Microseconds, slot int, daemon Seat, entitled bool) Output {
+	if !member.Owns() || slot < 0 || slot >= member.Slots || slot == member.Self {
+		return Output{}
+	}
+	if seated := member.bindings.Slot(daemon); seated >= 0 && seated != slot {
+		return Output{}
+	}
+	current := member.learner
+	switch {
+	case current != nil && current.sender == daemon && current.slot == slot:
+		current.entitled = entitled
+	case current == nil || now-current.heard > learnerPatience || entitled && !current.entitled:
+		member.learner = &learner{slot: slot, entitled: entitled, follower: follower{next: member.Base.Index + 1, sender: daemon, heard: now}}
+	}
+	member.teach(now)
+	return member.take()
+}
+
+// teach sends the learner what it lacks, and hands the slot over when it has caught up.
+func (member *Member) teach(now schedule.Microseconds) {
+	learner := member.learner
+	if learner == nil {
+		return
+	}
+	if now-learner.heard > learnerPatience {
+		member.learner = nil
+		return
+	}
+	last, _ := member.Last()
+	current := learner.next > last && learner.knows >= member.commit && learner.sentLife == learner.life
+	switch {
+	case learner.waiting && now-learner.sent < member.patience(learner.size):
+	case learner.fetching && now-learner.sent < member.Lease/3:
+	case !learner.waiting && current && now-learner.sent < member.Lease/3:
+	default:
+		if learner.waiting {
+			learner.next = learner.matched + 1
+		}
+		message := member.compose(now, learner.slot, &learner.follower)
+		learner.sentLife = learner.life
+		message.Learner, message.Address = true, learner.sender.Address
+		member.output.Urgent = append(member.output.Urgent, message)
+	}
+	caught := learner.life > 0 && learner.matched > 0 && learner.matched+caughtSlack >= member.commit
+	seat := member.bindings.Seats[learner.slot]
+	held := seat.holds(learner.sender) && seat.Identity == learner.sender.Identity
+	if caught && learner.entitled && !held {
+		member.replace(now, learner.slot, learner.sender, member.Lease)
+	}
+}
+
+// teaches tells whether a message is of the daemon that is taught here.
+func (member *Member) teaches(message Message) bool {
+	learner := member.learner
+	return learner != nil && learner.sender == message.Sender && learner.slot == message.From
+}
+
+// learned takes a learner's answer: it moves on what is sent next, and counts for nothing.
+func (member *Member) learned(now schedule.Microseconds, message Message) {
+	if member.stage != leading || message.Round != member.mine {
+		return
+	}
+	if member.sits(message) {
+		other := &member.others[message.From]
+		other.heard, other.life = now, message.Life
+	}
+	learner := member.learner
+	if !member.teaches(message) {
+		return
+	}
+	learner.heard = now
+	if learner.life != message.Life {
+		learner.life, learner.matched, learner.knows = message.Life, 0, 0
+	}
+	if message.Asked == learner.sent {
+		learner.waiting = false
+	}
+	if !message.Accepted {
+		learner.next = min(learner.next, message.Index+1)
+	} else {
+		learner.fetching = false
+		learner.matched = max(learner.matched, message.Index)
+		learner.next = max(learner.next, learner.matched+1)
+		learner.knows = max(learner.knows, message.Commit)
+	}
+	member.teach(now)
+}
+
+// study stores a leader's entries without a vote.
+func (member *Member) study(now schedule.Microseconds, message Message) {
+	recovery := member.recovery
+	if message.Round < recovery.studied {
+		return
+	}
+	recovery.studied, recovery.taught = message.Round, true
+	answer := Message{
+		To: message.From, Kind: Appended, Round: message.Round, Asked: message.Asked, Promised: message.Round, Life: member.Life, Recovering: true,
+	}
+	if message.Base.Index > member.applied {
+		member.install(message.Base)
+	}
+	if !member.matches(message.Index, message.IndexRound) {
+		if message.Snapshot > member.applied {
+			member.pull(now, fetch{purpose: forLearning, from: message.From, round: message.Round, index: message.Snapshot, answering: message.Asked})
+		}
+		last, _ := member.Last()
+		answer.Index = min(last, message.Index-1, max(member.commit, member.Base.Index))
+		member.hold(answer)
+		return
+	}
+	if records := member.merge(member.Part, message.Entries); len(records) > 0 {
+		member.record(records...)
+		member.rebind()
+	}
+	answer.Accepted, answer.Index = true, message.Index+uint64(len(message.Entries))
+	member.advance(min(message.Commit, answer.Index))
+	answer.Commit = member.commit
+	if message.Established && message.Life == member.Life && member.commit >= message.Commit && member.elected() {
+		member.graduate(now, message)
+		answer.Recovering, answer.Promised = false, member.Promised
+	}
+	member.hold(answer)
+}
+
+// elected tells whether a committed entry has given the slot to this very daemon: to its
+// address and to its data folder, so that what an earlier one promised is not asked of it.
+func (member *Member) elected() bool {
+	seat := member.settledBindings.Seats[member.Self]
+	return seat.holds(member.Me) && seat.Identity != "" && seat.Identity == member.Me.Identity
+}
+
+// graduate makes a voter of a learner. It promises the leader's round at least, and grants
+// nothing until the longest lease that an earlier holder may have granted is over.
+func (member *Member) graduate(now schedule.Microseconds, message Message) {
+	member.recovery = nil
+	member.Promised = max(member.Promised, message.Round)
+	member.record(journal.Record{Kind: journal.Promise, Part: member.Part, Entry: journal.Entry{Round: member.Promised}})
+	member.voter = grant.NewVoter(member.Terms, now, false)
+	member.election.Lift()
+	member.election.Bar(member.Promised)
+	member.overtaken(now, message.From, member.Promised)
+	member.current = true
+}
+
+// admit has a leader that is asked by a daemon without its disk, at the address of a seat
+// or for a vacant one, teach it. The seat's identity tells that the former holder's disk
+// is gone; where it is not known, the daemon recovers as if there were no leader.
+func (member *Member) admit(now schedule.Microseconds, message Message) {
+	seat := member.bindings.Seats[message.From]
+	if !member.Owns() || message.Sender.Identity == "" || seat.Identity == "" && !seat.Vacant() || message.From == member.Self {
+		return
+	}
+	if current := member.learner; current != nil && (current.sender == message.Sender || now-current.heard <= learnerPatience) {
+		return
+	}
+	member.learner = &learner{slot: message.From, entitled: true, follower: follower{next: member.Base.Index + 1, sender: message.Sender, heard: now}}
+	member.teach(now)
+}
+
+// quorate tells whether promises are a majority under the bindings of the log that they
+// make this candidate adopt: daemons that have lost their slot there count no more.
+func (member *Member) quorate(best Message) bool {
+	bindings := member.bindings
+	if best.From != member.Self {
+		if found, read := bindingsOf(best); read && found.Epoch > bindings.Epoch {
+			bindings = found
+		}
+	}
+	count := 0
+	for slot, promise := range member.promises {
+		if bindings.sits(slot, promise.Sender) {
+			count++
+		}
+	}
+	return count >= member.majority() && bindings.Slot(member.Me) == member.Self
+}
+
+func bindingsOf(message Message) (Bindings, bool) {
+	return LastBindings(journal.Past{Base: message.Base, Entries: message.Entries})
+}
+
+// quiet drops what a learner's election would say: it has no slot to speak for.
+func (member *Member) quiet(sends []election.Send) []election.Send {
+	if member.Learning() {
+		return nil
+	}
+	return sends
+}
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -38,6 +38,7 @@
 	fetch     *fetch
 	transfers Transfers
 	baseSum   baseSum
+	learner   *learner
 	answers   []Result
 	bindings  Bindings
 	// settledBindings are those of the applied part of the log.
@@ -144,7 +145,7 @@
 }
 
 func (member *Member) post(sends []election.Send) {
-	for _, send := range sends {
+	for _, send := range member.quiet(sends) {
 		member.output.Urgent = append(member.output.Urgent, Message{
 			Part: member.Part, From: member.Self, To: send.To, Kind: Elect, Election: send.Message, Epoch: member.bindings.Epoch,
 		})
@@ -235,6 +236,7 @@
 		// Whoever hears it is to wait for another leader, and must not renew its lease.
 	case member.stage == leading:
 		member.replicate(now)
+		member.teach(now)
 		member.release(now)
 	}
 }
@@ -254,6 +256,7 @@
 func (member *Member) step(schedule.Microseconds) {
 	member.output.Lost = member.stage == leading
 	member.stage, member.holder, member.promises = following, nil, nil
+	member.learner = nil
 }
 
 // overtaken hears of a higher promise: the election moves to that round.
--- a/internal/part/message.go
+++ b/internal/part/message.go
@@ -55,7 +55,10 @@
 	Established bool
 	Granted     bool
 	Recovering  bool
-	Asked       schedule.Microseconds
+	// Learner says that an Append is a copy for a daemon without a vote, at Address.
+	Learner bool
+	Address string
+	Asked   schedule.Microseconds
 	// Life is the answering slot's life, and in Append the last life that the
 	// leader heard from the slot it writes to.
 	Life uint64
--- a/internal/part/recovery.go
+++ b/internal/part/recovery.go
@@ -14,6 +14,10 @@
 	best    Message
 	offered Message
 	highest uint64
+	// learner says that it has no slot; taught, that a leader gives it a copy, and studied
+	// is the highest round that did.
+	learner, taught bool
+	studied         uint64
 }
 
 // forget drops what a slot has told, as its content can't be had.
@@ -64,11 +68,15 @@
 // that these bindings have reached a majority of the others.
 func (member *Member) tell(now schedule.Microseconds, message Message) {
 	if !member.sits(message) {
+		if member.bindings.Seats[message.From].Vacant() {
+			member.admit(now, message)
+		}
 		return
 	}
 	if member.stage == leading {
 		// It takes no part yet, but its seat is not deserted.
 		member.others[message.From].heard = now
+		member.admit(now, message)
 	}
 	answer := Message{To: message.From, Kind: Tell, Promised: member.Promised, Commit: member.commit, Recovering: member.recovery != nil}
 	answer.Index, answer.IndexRound = member.Last()
@@ -98,6 +106,9 @@
 
 func (member *Member) recovering(now schedule.Microseconds) {
 	recovery := member.recovery
+	if recovery.learner {
+		return
+	}
 	if now-recovery.asked >= member.Delta {
 		recovery.asked = now
 		for slot := range member.Slots {
@@ -121,10 +132,13 @@
 	}
 	member.recovery = nil
 	best := recovery.best
-	if best.Base.Index > member.applied {
-		member.install(best.Base)
+	// What a leader has taught meanwhile may be later than what the others told.
+	if index, round := member.Last(); best.IndexRound > round || best.IndexRound == round && best.Index > index {
+		if best.Base.Index > member.applied {
+			member.install(best.Base)
+		}
+		member.record(member.merge(member.Part, best.Entries)...)
 	}
-	member.record(member.merge(member.Part, best.Entries)...)
 	member.rebind()
 	member.raise(recovery.highest)
 	member.record(journal.Record{Kind: journal.Promise, Part: member.Part, Entry: journal.Entry{Round: member.Promised}})
--- a/internal/simulation/cores.go
+++ b/internal/simulation/cores.go
@@ -42,9 +42,11 @@
 
 // Core is one simulated control daemon with one part.
 type Core struct {
-	group       *Group
-	slot        int
-	life        uint64
+	group *Group
+	slot  int
+	life  uint64
+	// wipes counts lost disks: each empty one gets an identity of its own.
+	wipes       int
 	alive       bool
 	frozen      schedule.Microseconds
 	offset      schedule.Microseconds
@@ -77,6 +79,8 @@
 	Late    int
 	// Read counts the reads that were answered, and ReadLost those that could not be.
 	Read, ReadLost int
+	// owners are the identities that have owned a round.
+	owners map[uint64]string
 }
 
 // Terms of simulated groups: δ 200 ms, lease-ms 3000.
@@ -88,7 +92,7 @@
 // NewGroup founds a group of so many cores.
 func NewGroup(network *Network, slots int) *Group {
 	group := &Group{
-		Network: network, Acked: map[uint64]bool{}, AckedAt: map[uint64]schedule.Microseconds{},
+		Network: network, Acked: map[uint64]bool{}, AckedAt: map[uint64]schedule.Microseconds{}, owners: map[uint64]string{},
 		Place: part.Place{Place: election.Place{Slots: slots, Delta: Delta}, Terms: Terms, Keep: 24, Piece: 256},
 	}
 	for slot := range slots {
@@ -119,6 +123,9 @@
 	place.Self = core.slot
 	core.life++
 	place.Life, place.Me = core.life, place.Bindings.Seats[core.slot]
+	if core.wipes > 0 {
+		place.Me.Identity = fmt.Sprintf("%d-%d", core.slot, core.wipes)
+	}
 	core.wakePlanned = false
 	core.alive, core.frozen, core.unsynced, core.pending, core.syncing = true, 0, nil, nil, false
 	core.book, core.gauges, core.waiting = &Book{}, map[int]*link.Gauge{}, map[[2]uint64]uint64{}
@@ -132,6 +139,7 @@
 	core.member = member
 	core.carry(output)
 	core.plan()
+	core.seek(core.life)
 }
 
 // Kill ends a life; what was not synced is lost, but for a first few records at
@@ -148,7 +156,10 @@
 }
 
 // Wipe loses the disk of a dead core.
-func (core *Core) Wipe() { core.disk = journal.NewImage() }
+func (core *Core) Wipe() {
+	core.disk = journal.NewImage()
+	core.wipes++
+}
 
 // Freeze stops a core without its knowing, its clock running on.
 func (core *Core) Freeze(span schedule.Microseconds) {
@@ -167,6 +178,7 @@
 }
 
 func (core *Core) plan() {
+	core.reseat()
 	life, due := core.life, core.member.Next()
 	span := max(due-core.Clock(), 100)
 	at := core.group.Now() + span
@@ -185,6 +197,7 @@
 }
 
 func (core *Core) carry(output part.Output) {
+	core.noteOwner()
 	for _, message := range output.Urgent {
 		core.send(message)
 	}
@@ -210,6 +223,20 @@
 	core.answerReads()
 }
 
+// noteOwner checks that a round has one owner ever, also when its slot changes hands.
+func (core *Core) noteOwner() {
+	if core.member == nil || !core.member.Owns() {
+		return
+	}
+	_, round := core.member.Leader()
+	identity, known := core.group.owners[round]
+	if !known {
+		core.group.owners[round] = core.member.Me.Identity
+	} else if identity != core.member.Me.Identity {
+		core.group.Violate("round %d is owned by %s and by %s", round, identity, core.member.Me.Identity)
+	}
+}
+
 // sync gives the disk all that waits for it at once, as the journal does.
 func (core *Core) sync() {
 	if core.syncing || len(core.pending) == 0 {
--- a/internal/simulation/soak.go
+++ b/internal/simulation/soak.go
@@ -15,26 +15,32 @@
 	Routers  []*Router
 	Observer *engine.Observer
 	Stable   schedule.Microseconds
+	healed   bool
+	// rest is how long the group runs on before its books are compared.
+	rest schedule.Microseconds
 }
 
 // RecoverySpan is how long serving may be away after machines return.
 const RecoverySpan = 12 * schedule.Second
 
 // NewSoak founds three cores and three routers.
-func NewSoak(seed uint64) *Soak {
+func NewSoak(seed uint64) *Soak { return NewSoakOf(seed, 3) }
+
+// NewSoakOf founds so many cores, and three routers.
+func NewSoakOf(seed uint64, slots int) *Soak {
 	world := NewWorld(seed)
 	network := NewNetwork(world, 200, 3*schedule.Millisecond)
-	soak := &Soak{Group: NewGroup(network, 3)}
+	soak := &Soak{Group: NewGroup(network, slots), rest: 5 * schedule.Second}
 	for number := range 3 {
-		soak.Routers = append(soak.Routers, soak.NewRouter(3+number))
+		soak.Routers = append(soak.Routers, soak.NewRouter(slots+number))
 	}
 	soak.Observer = soak.Orders()
 	for _, each := range soak.Cores {
 		each.drift = (world.Chance.Float64() - 0.5) * 2e-4
 	}
 	soak.Every(40*schedule.Millisecond, func() bool {
-		soak.Cores[world.Chance.IntN(3)].Propose()
-		soak.Cores[world.Chance.IntN(3)].BeginRead()
+		soak.Cores[world.Chance.IntN(slots)].Propose()
+		soak.Cores[world.Chance.IntN(slots)].BeginRead()
 		return true
 	})
 	return soak
@@ -49,6 +55,7 @@
 		soak.World.Run(soak.Between(100*schedule.Millisecond, 5*schedule.Second))
 	}
 	soak.heal()
+	soak.healed = true
 	healed := soak.Now()
 	for soak.Now()-healed < RecoverySpan && !soak.serves() {
 		soak.World.Run(50 * schedule.Millisecond)
@@ -57,7 +64,7 @@
 	if !soak.serves() {
 		soak.Violate("not serving %d ms after all machines returned", soak.Stable/schedule.Millisecond)
 	}
-	soak.World.Run(5 * schedule.Second)
+	soak.World.Run(soak.rest)
 	soak.verify()
 	return soak.Violations
 }
@@ -91,19 +98,44 @@
 	soak.Note("healed")
 }
 
-// mayWipe allows one lost disk at a time: the next only after the last one has
-// caught up again.
+// mayWipe allows as many lost disks at a time as leave a majority: the next only after
+// an earlier one has caught up again.
 func (soak *Soak) mayWipe(slot int) bool {
+	lost := 0
 	for _, each := range soak.Cores {
 		if each.slot != slot && !each.disk.Past(0).Whole {
-			return false
+			lost++
 		}
 	}
-	return true
+	return lost < (len(soak.Cores)-1)/2
+}
+
+// FailDisks has disks lost again and again, each as soon as the last one has caught up,
+// beside the other failures, so that seats change hands in the middle of everything.
+func (soak *Soak) FailDisks() {
+	// A stall that an earlier life of a disk has begun lasts up to nine seconds.
+	soak.rest = 10 * schedule.Second
+	soak.Every(300*schedule.Millisecond, func() bool {
+		if soak.healed {
+			return false
+		}
+		slot := soak.Chance.IntN(len(soak.Cores))
+		each := soak.Cores[slot]
+		switch {
+		case !each.alive && soak.Chance.IntN(3) > 0:
+			each.Start(false)
+		case each.alive && soak.mayWipe(slot) && soak.Chance.IntN(3) == 0:
+			soak.Note("kill core %d and lose its disk", slot)
+			each.Kill()
+			each.Wipe()
+		}
+		return true
+	})
 }
 
 func (soak *Soak) fail() {
-	slot := soak.Chance.IntN(3)
+	slots := len(soak.Cores)
+	slot := soak.Chance.IntN(slots)
 	each := soak.Cores[slot]
 	switch choice := soak.Chance.IntN(13); choice {
 	case 0, 1:
@@ -126,9 +158,9 @@
 		each.Freeze(span)
 	case 6:
 		soak.Note("isolate machine %d", slot)
-		soak.Isolate(soak.Chance.IntN(6), 6)
+		soak.Isolate(soak.Chance.IntN(slots+3), slots+3)
 	case 7:
-		to := (slot + 1 + soak.Chance.IntN(2)) % 3
+		to := (slot + 1 + soak.Chance.IntN(slots-1)) % slots
 		soak.Note("cut %d to %d", slot, to)
 		soak.Cut(slot, to)
 	case 8:
@@ -141,7 +173,7 @@
 	case 9:
 		soak.Note("loss and slow links")
 		soak.Loss = soak.Chance.Float64() / 2
-		soak.Slow(slot, (slot+1)%3, soak.Between(0, 500*schedule.Millisecond))
+		soak.Slow(slot, (slot+1)%slots, soak.Between(0, 500*schedule.Millisecond))
 	default:
 		soak.heal()
 	}
--- a/internal/simulation/stage_reserve_test.go
+++ b/internal/simulation/stage_reserve_test.go
@@ -144,14 +144,17 @@
 	})
 }
 
-// A core comes back without its disk: it is offered what routers have once, not at each of
-// their reads for as long as it recovers.
+// Two cores come back without their disks: each is offered what routers have once, not at
+// each of their reads for as long as it recovers. One alone is given a copy by the leader.
 func TestACopyIsOfferedOnce(test *testing.T) {
 	play(test, func(stage *stage) {
-		stage.kill("core-1")
-		stage.wipe("core-1")
+		for _, name := range []string{"core-1", "core-2"} {
+			stage.kill(name)
+			stage.wipe(name)
+		}
 		time.Sleep(time.Second)
 		stage.wake("core-1")
+		stage.wake("core-2")
 		time.Sleep(6 * time.Second)
 		offered := int64(0)
 		for _, address := range stage.routPub {
@@ -162,8 +165,8 @@
 			}
 			offered += counters["copies-offered"]
 		}
-		// Two parts, and three routers that may ask before the first offer has arrived.
-		if offered < 2 || offered > 12 {
+		// Two cores of two parts, and three routers that may ask before the first offer has arrived.
+		if offered < 4 || offered > 24 {
 			test.Errorf("%d copies were offered", offered)
 		}
 	})
--- a/internal/simulation/stage_seats_test.go
+++ b/internal/simulation/stage_seats_test.go
@@ -19,6 +19,17 @@
 	stage.Logf("%s has its seats after %v", address, time.Since(begun))
 }
 
+// awaitClaims waits until a core with a seat knows the one-shot keys that others hold: only
+// then do requests find a majority without another core. Start and all, it has catchUp.
+func (stage *stage) awaitClaims(address string, began time.Time) {
+	for !stage.overview(address).Parts[1].ClaimsWhole {
+		if time.Sleep(20 * time.Millisecond); time.Since(began) > 20*time.Second {
+			stage.Fatalf("%s does not know the claims after %v", address, time.Since(began))
+		}
+	}
+	stage.Logf("%s knows the claims after %v", address, time.Since(began))
+}
+
 // A core machine returns empty at a new address; then another core dies, and the
 // returned one must carry the majority.
 func TestACoreReturnsEmptyAtANewAddress(test *testing.T) {
@@ -29,8 +40,10 @@
 			stage.core("core-2", "sur", "10.0.0.9:1", "127.0.0.9:2", "")
 			stage.corePub[2] = "127.0.0.9:2"
 			time.Sleep(time.Second)
+			began := time.Now()
 			stage.wake("core-2")
 			stage.awaitSeat("127.0.0.9:2")
+			stage.awaitClaims("127.0.0.9:2", began)
 			stage.kill("core-0")
 			time.Sleep(10 * time.Second)
 			if stage.leader() == "" {
