--- a/internal/election/contact_test.go
+++ b/internal/election/contact_test.go
@@ -1,7 +1,6 @@
 package election_test
 
 import (
-	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -174,7 +173,7 @@
 				for end := found.Now() + span; found.Now() < end; {
 					found.Run(delta / 10)
 					if kept, at := found.machines[leader].Leader(); kept != leader || at != round {
-						test.Fatal(fmt.Sprintf("%s, seed %d: the leader %d of round %d became %d of %d", way, seed, leader, round, kept, at))
+						test.Fatalf("%s, seed %d: the leader %d of round %d became %d of %d", way, seed, leader, round, kept, at)
 					}
 				}
 			}
@@ -182,7 +181,7 @@
 			found.Heal()
 			watch(20 * delta)
 			if all, agreed := found.leader(); !agreed || all != leader {
-				test.Fatal(fmt.Sprintf("%s, seed %d: no common leader after the return", way, seed))
+				test.Fatalf("%s, seed %d: no common leader after the return", way, seed)
 			}
 		}
 	}
