Leave three token makers to groups of six engines or more

Change: the share of reading leaves three token makers where there are six engines or more.

Test: TestThreeTokenMakersStay fails without (two makers).

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -134,7 +134,12 @@
 	way    int
 }
 
-const band = 0.12
+const (
+	band = 0.12
+	// spareWriters is from how many engines on there are three token makers: nobody else makes
+	// tokens, so that the loss of one while another is cold must leave a third.
+	spareWriters = 6
+)
 
 // Readers is the number of prompt readers wanted now among count engines, given
 // how many there are and which fraction of all busy time is prompt reading.
@@ -143,15 +148,18 @@
 		return present
 	}
 	// Two of each part, where there are enough, so that the loss of one hall leaves one.
-	least := 1
+	least, writers := 1, 1
 	if count >= 4 {
-		least = 2
+		least, writers = 2, 2
+	}
+	if count >= spareWriters {
+		writers = 3
 	}
-	present = min(max(present, least), count-least)
+	present = min(max(present, least), count-writers)
 	have := float64(present) / float64(count)
 	way := 0
 	switch {
-	case fraction > have+band && present < count-least:
+	case fraction > have+band && present < count-writers:
 		way = 1
 	case fraction < have-band && present > least:
 		way = -1
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -77,3 +77,18 @@
 		}
 	})
 }
+
+// Prompts that crowd in never leave fewer than three token makers to a group of six or more:
+// one may be lost while another is cold.
+func TestThreeTokenMakersStay(test *testing.T) {
+	for count := 6; count <= 12; count++ {
+		share := &contract.Share{Settle: schedule.Second}
+		readers := 2
+		for turn := range 50 {
+			readers = share.Readers(schedule.Microseconds(turn)*2*schedule.Second, count, readers, 1)
+		}
+		if makers := count - readers; makers != 3 {
+			test.Errorf("%d of %d engines make tokens", makers, count)
+		}
+	}
+}
