Have members find out that their slot is another's, and learners be taught by any leader

Three causes. A member whose slot was vacated while it was out of touch goes on hearing the leader's OKs, takes itself for current, and never asks for the bindings, as the leader sends no entries to a vacant slot. A learner says nothing by itself, so that the next leader did not know of it; a daemon that asked at the address of its own seat was passed over. And a learner that had become a voter kept its place for two seconds more.

Change: a follower that was shown nothing for a whole lease is detached and alone, and so asks; a daemon that asks at the address of its seat is taught; a learner that answers as a voter makes room.

--- a/internal/core/seek.go
+++ b/internal/core/seek.go
@@ -139,7 +139,11 @@
 	if joining.Reserve {
 		slot = shard.spare(now, bindings, joining.Daemon.Hall)
 	}
-	if slot < 0 || bindings.Slot(joining.Daemon) >= 0 {
+	if seated := bindings.Slot(joining.Daemon); seated >= 0 {
+		shard.carry(context, member.Restore(now, seated, joining.Daemon))
+		return
+	}
+	if slot < 0 {
 		return
 	}
 	leaving := joining.Reserve && shard.core.drained(bindings.Seats[slot].Hall)
--- a/internal/part/accepting.go
+++ b/internal/part/accepting.go
@@ -50,6 +50,7 @@
 		return
 	}
 	member.raise(message.Round)
+	member.shownAt = now
 	answer.Promised = member.Promised
 	if message.Base.Index > member.applied {
 		member.install(message.Base)
--- a/internal/part/binding.go
+++ b/internal/part/binding.go
@@ -226,7 +226,7 @@
 func (member *Member) Alone(now schedule.Microseconds) bool {
 	leader, _ := member.election.Leader()
 	if member.stage != leading {
-		return leader == election.Nobody || leader == member.Self || !member.current
+		return leader == election.Nobody || leader == member.Self || !member.current || member.forsaken(now)
 	}
 	heard := 0
 	for slot := range member.others {
--- a/internal/part/contact.go
+++ b/internal/part/contact.go
@@ -57,9 +57,16 @@
 }
 
 // Detached tells whether this member knows that it is out of touch: it leads without
-// contact with a majority, or no majority answers its PINGs.
+// contact with a majority, no majority answers its PINGs, or it follows a leader that shows
+// it nothing, as one does whose bindings have given the slot away.
 func (member *Member) Detached(now schedule.Microseconds) bool {
-	return member.election.Isolated() || member.Owns() && !member.Confirmed(now)
+	return member.election.Isolated() || member.Owns() && !member.Confirmed(now) || member.forsaken(now)
+}
+
+// forsaken tells whether this member follows a leader that has sent it neither entries nor a
+// heartbeat for a whole lease; three heartbeats are due in one.
+func (member *Member) forsaken(now schedule.Microseconds) bool {
+	return member.stage == following && now-member.shownAt > member.Lease
 }
 
 // Read is a read under way: it may be answered once a majority has confirmed, by answers to
--- a/internal/part/leading.go
+++ b/internal/part/leading.go
@@ -188,6 +188,10 @@
 	if message.Granted {
 		member.holder.Gain(now, message.From, message.Asked)
 	}
+	if member.teaches(message) {
+		// It is a voter now; another may be taught.
+		member.learner = nil
+	}
 	if message.Promised <= message.Round {
 		member.election.Answered(message.From, message.Asked)
 	}
--- a/internal/part/learner.go
+++ b/internal/part/learner.go
@@ -56,6 +56,17 @@
 	return member.take()
 }
 
+// Restore has this leader teach a daemon that stands at the address of its seat and asks for
+// it: it has lost its disk since, or was given the seat and has not heard so as a learner. A
+// daemon that learns is silent by itself, so whoever leads next must be told of it so. To a
+// voter that asks because it hears no leader this is one heartbeat more.
+func (member *Member) Restore(now schedule.Microseconds, slot int, daemon Seat) Output {
+	if member.bindings.Seats[slot].Identity == "" {
+		return Output{}
+	}
+	return member.Teach(now, slot, daemon, true)
+}
+
 // teach sends the learner what it lacks, and hands the slot over when it has caught up.
 func (member *Member) teach(now schedule.Microseconds) {
 	learner := member.learner
@@ -179,7 +190,7 @@
 	member.election.Lift()
 	member.election.Bar(member.Promised)
 	member.overtaken(now, message.From, member.Promised)
-	member.current = true
+	member.current, member.shownAt = true, now
 }
 
 // admit has a leader that is asked by a daemon without its disk, at the address of a seat
--- a/internal/part/member.go
+++ b/internal/part/member.go
@@ -34,6 +34,8 @@
 	heartbeat schedule.Microseconds
 	recovery  *recovery
 	probedAt  schedule.Microseconds
+	// shownAt is when the leader of the round has last sent this member entries or a heartbeat.
+	shownAt   schedule.Microseconds
 	probed    bool
 	fetch     *fetch
 	transfers Transfers
--- a/internal/simulation/seats.go
+++ b/internal/simulation/seats.go
@@ -38,7 +38,7 @@
 	core.group.After(seekSpan, func() {
 		core.step(life, func() {
 			learning, daemon := core.member.Learning(), core.member.Me
-			if _, current := core.member.Current(); learning || !current && !core.member.Recovering() {
+			if learning || core.member.Alone(core.Clock()) && !core.member.Recovering() {
 				for _, other := range core.group.Cores {
 					core.group.Send(core.slot, other.slot, func() {
 						other.step(other.life, func() {
@@ -68,7 +68,12 @@
 }
 
 func (core *Core) enrol(slot int, daemon part.Seat) {
-	vacant := core.member.Bindings().Seats[slot].Vacant()
-	core.carry(core.member.Teach(core.Clock(), slot, daemon, vacant))
+	bindings := core.member.Bindings()
+	if seated := bindings.Slot(daemon); seated >= 0 {
+		core.carry(core.member.Restore(core.Clock(), seated, daemon))
+		core.plan()
+		return
+	}
+	core.carry(core.member.Teach(core.Clock(), slot, daemon, bindings.Seats[slot].Vacant()))
 	core.plan()
 }
--- a/internal/simulation/soak_disks_test.go
+++ b/internal/simulation/soak_disks_test.go
@@ -8,7 +8,7 @@
 	"coursepass/internal/schedule"
 )
 
-var diskSeeds = flag.Uint64("disk-seeds", 6, "number of seeds of lost disks, for each size of the group")
+var diskSeeds = flag.Uint64("disk-seeds", 18, "number of seeds of lost disks, for each size of the group")
 
 // Disks are lost one after the other, each as soon as the last one has caught up, among
 // crashes, freezes, cuts, loss and slow links: acknowledged lines stay, books agree, each
