--- a/internal/part/binding.go
+++ b/internal/part/binding.go
@@ -86,8 +86,8 @@
 
 func encode(value any) []byte {
 	var buffer bytes.Buffer
-	if failure := gob.NewEncoder(&buffer).Encode(value); failure != nil {
-		panic(failure)
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		panic(err)
 	}
 	return buffer.Bytes()
 }
@@ -95,8 +95,8 @@
 // Unpack splits a capture into bindings and state.
 func Unpack(capture []byte) (Bindings, []byte, bool) {
 	var found packed
-	failure := gob.NewDecoder(bytes.NewReader(capture)).Decode(&found)
-	return found.Bindings, found.State, failure == nil
+	err := gob.NewDecoder(bytes.NewReader(capture)).Decode(&found)
+	return found.Bindings, found.State, err == nil
 }
 
 func readBindings(entry journal.Entry) (Bindings, bool) {
@@ -104,8 +104,8 @@
 	if len(entry.Data) == 0 || entry.Data[0] != bindingsTag {
 		return found, false
 	}
-	failure := gob.NewDecoder(bytes.NewReader(entry.Data[1:])).Decode(&found)
-	return found, failure == nil
+	err := gob.NewDecoder(bytes.NewReader(entry.Data[1:])).Decode(&found)
+	return found, err == nil
 }
 
 // LastBindings are the last that a disk holds.
