Name errors err and contexts ctx in internal/core

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The package and its tests compile.

--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -139,8 +139,8 @@
 }
 
 // rebuild has seats that have forgotten their claims copy them from the other seats.
-func (core *Core) rebuild(context context.Context) {
-	schedule.Every(context, rebuildSpan, func() {
+func (core *Core) rebuild(ctx context.Context) {
+	schedule.Every(ctx, rebuildSpan, func() {
 		if core.diary.Due() {
 			core.rewriteDiary()
 		}
@@ -149,11 +149,11 @@
 			if claims == nil || status == nil || status.Slot < 0 || claims.whole(now) {
 				continue
 			}
-			core.noteLongest(context, claims)
+			core.noteLongest(ctx, claims)
 			var group sync.WaitGroup
 			for slot, seat := range shard.seats.Load().Seats {
 				if slot != status.Slot && !seat.Vacant() {
-					group.Go(func() { core.copyFrom(context, shard, claims, seat.Address, slot) })
+					group.Go(func() { core.copyFrom(ctx, shard, claims, seat.Address, slot) })
 				}
 			}
 			group.Wait()
@@ -178,8 +178,8 @@
 
 // noteLongest reads from the configuration in force how long a one-shot request may be
 // under way.
-func (core *Core) noteLongest(context context.Context, claims *claims) {
-	core.shards[0].ask(context, func() {
+func (core *Core) noteLongest(ctx context.Context, claims *claims) {
+	core.shards[0].ask(ctx, func() {
 		longest := schedule.Microseconds(0)
 		for _, tenant := range core.configs.View().Plan.Tenants {
 			for _, template := range tenant.Kinds {
@@ -194,7 +194,7 @@
 	})
 }
 
-func (core *Core) copyFrom(context context.Context, shard *shard, claims *claims, address string, slot int) {
+func (core *Core) copyFrom(ctx context.Context, shard *shard, claims *claims, address string, slot int) {
 	begun, life := core.clock.Now(), uint64(0)
 	claims.lock.Lock()
 	settled := claims.seat.Settled(begun)
@@ -204,8 +204,8 @@
 	}
 	for index := range claim.Shards {
 		question := &shareQuestion{Part: shard.index, Index: index, Epoch: shard.seats.Load().Epoch}
-		answer, failure := circuit.Call[shareQuestion, shareAnswer](context, core.inner, address, sharePath, shareBudget, question)
-		if failure != nil || !answer.Whole || answer.Slot != slot || index > 0 && answer.Life != life {
+		answer, err := circuit.Call[shareQuestion, shareAnswer](ctx, core.inner, address, sharePath, shareBudget, question)
+		if err != nil || !answer.Whole || answer.Slot != slot || index > 0 && answer.Life != life {
 			return
 		}
 		life = answer.Life
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,8 +49,8 @@
 // Check declines settings that can't work.
 func (settings Settings) Check() error {
 	for _, check := range []func() error{settings.Place.Check, settings.Inner.Check, settings.Lengths.Check} {
-		if failure := check(); failure != nil {
-			return failure
+		if err := check(); err != nil {
+			return err
 		}
 	}
 	if settings.Data == "" {
@@ -102,17 +102,17 @@
 
 // New makes a core from checked settings.
 func New(settings Settings, incarnation uint64, network circuit.Network) (*Core, error) {
-	if failure := settings.Check(); failure != nil {
-		return nil, failure
+	if err := settings.Check(); err != nil {
+		return nil, err
 	}
 	device, _ := network.(journal.Device)
 	options := journal.Options{Folder: settings.Data, Rewrite: int64(settings.Rewrite) << 20, Device: device}
 	if !settings.Seatless {
 		options.Reserve = reserved
 	}
-	disk, failure := journal.Open(options)
-	if failure != nil {
-		return nil, failure
+	disk, err := journal.Open(options)
+	if err != nil {
+		return nil, err
 	}
 	diary := claim.OpenDiary(journal.OperatingSystem{}, settings.Data)
 	// A damaged journal was answered for, so this is no first start.
@@ -203,12 +203,12 @@
 // Listen opens both sockets of a daemon.
 func Listen(network circuit.Network, inner, public string) (Listeners, error) {
 	listeners := Listeners{}
-	var failure error
-	if listeners.Inner, failure = network.Listen(inner); failure != nil {
-		return listeners, failure
+	var err error
+	if listeners.Inner, err = network.Listen(inner); err != nil {
+		return listeners, err
 	}
-	listeners.Public, failure = network.Listen(public)
-	return listeners, failure
+	listeners.Public, err = network.Listen(public)
+	return listeners, err
 }
 
 // Run serves until the context ends; its error is final.
@@ -219,8 +219,8 @@
 	var group sync.WaitGroup
 	launch := func(action func() error) {
 		group.Go(func() {
-			if failure := action(); failure != nil {
-				ended <- failure
+			if err := action(); err != nil {
+				ended <- err
 				cancel()
 			}
 		})
@@ -249,15 +249,15 @@
 	log.Info().Str("core", core.Machine.Name).Str("identity", core.seat.Identity).Bool("new", fresh).Msg("core runs")
 	group.Wait()
 	select {
-	case failure := <-ended:
-		return failure
+	case err := <-ended:
+		return err
 	default:
 		return nil
 	}
 }
 
 func (core *Core) serveInner() {
-	circuit.Answer(core.inner, deliverPath, func(context context.Context, parcel *Parcel) (*Receipt, error) {
+	circuit.Answer(core.inner, deliverPath, func(ctx context.Context, parcel *Parcel) (*Receipt, error) {
 		now := core.clock.Now()
 		receipt := &Receipt{Incarnation: core.Incarnation, Clock: now}
 		age, judged := parcel.Age(now, core.Incarnation)
@@ -276,7 +276,7 @@
 			default:
 				core.Taken.Add(1)
 				message.Sender = parcel.Sender
-				core.shards[message.Part].receive(context, message)
+				core.shards[message.Part].receive(ctx, message)
 			}
 		}
 		return receipt, nil
--- a/internal/core/door.go
+++ b/internal/core/door.go
@@ -26,9 +26,9 @@
 		}
 		request.Observed = core.observe(parent)
 	}
-	answer, failure := core.enter(parent, &Errand{Configure: &request})
-	if failure != nil {
-		return configuration.Outcome{}, failure
+	answer, err := core.enter(parent, &Errand{Configure: &request})
+	if err != nil {
+		return configuration.Outcome{}, err
 	}
 	return answer.Outcome, nil
 }
@@ -49,9 +49,9 @@
 
 // Read is all that is in force, proved by a majority. It is bounded as Configure is.
 func (core *Core) Read(parent context.Context) (configuration.View, error) {
-	answer, failure := core.enter(parent, &Errand{Read: true})
-	if failure != nil {
-		return configuration.View{}, failure
+	answer, err := core.enter(parent, &Errand{Read: true})
+	if err != nil {
+		return configuration.View{}, err
 	}
 	return answer.View, nil
 }
@@ -67,24 +67,24 @@
 	}
 	begun := core.clock.Now()
 	for {
-		answer, failure := core.operate(bounded, errand)
-		if failure == nil {
+		answer, err := core.operate(bounded, errand)
+		if err == nil {
 			switch answer.Code {
 			case mishap.NotOwner, mishap.NoMajority, mishap.OutcomeUnknown:
-				failure = mishap.New(answer.Code, "%s", answer.Text)
+				err = mishap.New(answer.Code, "%s", answer.Text)
 			default:
 				return answer, nil
 			}
 		}
-		code := mishap.CodeOf(failure, mishap.OutcomeUnknown)
+		code := mishap.CodeOf(err, mishap.OutcomeUnknown)
 		again := code == mishap.NotOwner || errand.Read && code != mishap.NoMajority
 		if !again || core.clock.Now()-begun > doorLeader {
-			return nil, failure
+			return nil, err
 		}
 		select {
 		case <-time.After(doorAgain.Duration()):
 		case <-bounded.Done():
-			return nil, failure
+			return nil, err
 		}
 	}
 }
--- a/internal/core/door_test.go
+++ b/internal/core/door_test.go
@@ -32,21 +32,21 @@
 		var listeners []Listeners
 		var seeds []string
 		for range 3 {
-			inner, failure := net.Listen("tcp", "127.0.0.1:0")
-			So(failure, ShouldBeNil)
-			public, failure := net.Listen("tcp", "127.0.0.1:0")
-			So(failure, ShouldBeNil)
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			public, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
 			listeners, seeds = append(listeners, Listeners{inner, public}), append(seeds, inner.Addr().String())
 		}
 		var cores []*Core
 		var stops []context.CancelFunc
 		var group sync.WaitGroup
 		for number, each := range listeners {
-			made, failure := New(Settings{
+			made, err := New(Settings{
 				Place: setting.Place{Name: fmt.Sprint("core-", number), Hall: "norte", Fleet: "door", Public: each.Public.Addr().String(), Seeds: seeds},
 				Inner: setting.Inner{Inner: seeds[number], Parts: 2}, Lengths: setting.Lengths{Delta: 100, Lease: 1000}, Rewrite: 16, Data: test.TempDir(),
 			}, setting.Incarnation(), circuit.System)
-			So(failure, ShouldBeNil)
+			So(err, ShouldBeNil)
 			running, stop := context.WithCancel(context.Background())
 			cores, stops = append(cores, made), append(stops, stop)
 			defer stop()
@@ -54,20 +54,20 @@
 		}
 		begun := cores[0].clock.Now()
 		taken, attempt := configuration.Outcome{}, 0
-		for failure := error(mishap.New(mishap.NotOwner, "not asked")); failure != nil && cores[0].clock.Now()-begun < 30*schedule.Second; attempt++ {
-			taken, failure = cores[attempt%3].Configure(context.Background(), doorRequest(5, 0, attempt))
+		for err := error(mishap.New(mishap.NotOwner, "not asked")); err != nil && cores[0].clock.Now()-begun < 30*schedule.Second; attempt++ {
+			taken, err = cores[attempt%3].Configure(context.Background(), doorRequest(5, 0, attempt))
 		}
 		So(taken.Code, ShouldEqual, mishap.Fine)
 		So(taken.Sequence, ShouldEqual, 1)
 		for number, each := range cores {
-			outcome, failure := each.Configure(context.Background(), doorRequest(5, 0, 1000+number))
-			So(failure, ShouldBeNil)
+			outcome, err := each.Configure(context.Background(), doorRequest(5, 0, 1000+number))
+			So(err, ShouldBeNil)
 			So(outcome, ShouldResemble, taken)
-			outcome, failure = each.Configure(context.Background(), doorRequest(9, 4, 1000+number))
-			So(failure, ShouldBeNil)
+			outcome, err = each.Configure(context.Background(), doorRequest(9, 4, 1000+number))
+			So(err, ShouldBeNil)
 			So(outcome.Code, ShouldEqual, mishap.SequenceStale)
-			view, failure := each.Read(context.Background())
-			So(failure, ShouldBeNil)
+			view, err := each.Read(context.Background())
+			So(err, ShouldBeNil)
 			So(view.Label, ShouldEqual, 5)
 			So(view.Items["services"], ShouldResemble, []configuration.Item{{Name: "s", Text: `{"name":"s"}`}})
 		}
@@ -78,9 +78,9 @@
 		var orders sync.WaitGroup
 		for number := range codes {
 			orders.Go(func() {
-				outcome, failure := cores[number%3].Configure(context.Background(), doorRequest(uint64(6+number), 5, 1500+number))
-				if codes[number] = outcome.Code; failure != nil {
-					codes[number] = mishap.CodeOf(failure, mishap.OutcomeUnknown)
+				outcome, err := cores[number%3].Configure(context.Background(), doorRequest(uint64(6+number), 5, 1500+number))
+				if codes[number] = outcome.Code; err != nil {
+					codes[number] = mishap.CodeOf(err, mishap.OutcomeUnknown)
 				}
 			})
 		}
@@ -94,13 +94,13 @@
 		stops[1]()
 		for call := range 4 {
 			asked := cores[2].clock.Now()
-			var failure error
+			var err error
 			if call%2 == 0 {
-				_, failure = cores[2].Configure(context.Background(), doorRequest(9, 5, 2000+call))
+				_, err = cores[2].Configure(context.Background(), doorRequest(9, 5, 2000+call))
 			} else {
-				_, failure = cores[2].Read(context.Background())
+				_, err = cores[2].Read(context.Background())
 			}
-			So(mishap.CodeOf(failure, mishap.Fine), ShouldBeIn, mishap.NotOwner, mishap.NoMajority, mishap.OutcomeUnknown)
+			So(mishap.CodeOf(err, mishap.Fine), ShouldBeIn, mishap.NotOwner, mishap.NoMajority, mishap.OutcomeUnknown)
 			So(cores[2].clock.Now()-asked, ShouldBeLessThan, schedule.Second)
 		}
 		stops[2]()
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -63,40 +63,40 @@
 	return duty
 }
 
-func (duty *duty) run(context context.Context) {
+func (duty *duty) run(ctx context.Context) {
 	if duty.mirror != nil {
-		schedule.Every(context, mirrorTick, func() { duty.reflect(context) })
+		schedule.Every(ctx, mirrorTick, func() { duty.reflect(ctx) })
 		return
 	}
-	schedule.Every(context, pollEvery, func() {
+	schedule.Every(ctx, pollEvery, func() {
 		if status := duty.shard.status.Load(); status != nil && status.Owner {
-			duty.round(context)
+			duty.round(ctx)
 		}
 	})
 }
 
 // round is one turn of the leader's work: ask all engines, sign a new contract
 // where the picture changed, and give the standing orders.
-func (duty *duty) round(context context.Context) {
+func (duty *duty) round(ctx context.Context) {
 	var view catalogue.View
 	var plan configuration.View
-	if !duty.shard.ask(context, func() { view = duty.engines.View }) {
+	if !duty.shard.ask(ctx, func() { view = duty.engines.View }) {
 		return
 	}
-	if !duty.core.shards[0].ask(context, func() { plan = duty.core.configs.View() }) {
+	if !duty.core.shards[0].ask(ctx, func() { plan = duty.core.configs.View() }) {
 		return
 	}
-	duty.poll(context, view)
+	duty.poll(ctx, view)
 	right := duty.shard.right.Load()
 	round := duty.shard.status.Load().Round
 	for service := range duty.services(view) {
 		drawn, standing := duty.draw(service, round, view, plan)
 		if !drawn.Same(view.Contracts[service]) {
-			duty.sign(context, drawn)
+			duty.sign(ctx, drawn)
 		}
 		for name, each := range standing {
 			if report, fresh := duty.fresh(name); fresh {
-				duty.desk.Give(context, right, report, each)
+				duty.desk.Give(ctx, right, report, each)
 			}
 		}
 	}
@@ -117,8 +117,8 @@
 	for _, engine := range view.Engines {
 		group.Go(func() {
 			duty.polls.Add(1)
-			report, failure := duty.fetch(bounded, engine.Address)
-			if failure != nil || report.Name != engine.Name || report.Incarnation != engine.Incarnation {
+			report, err := duty.fetch(bounded, engine.Address)
+			if err != nil || report.Name != engine.Name || report.Incarnation != engine.Incarnation {
 				return
 			}
 			duty.lock.Lock()
@@ -137,19 +137,19 @@
 	group.Wait()
 }
 
-func (duty *duty) fetch(context context.Context, address string) (catalogue.Report, error) {
+func (duty *duty) fetch(ctx context.Context, address string) (catalogue.Report, error) {
 	var report catalogue.Report
-	request, failure := http.NewRequestWithContext(context, http.MethodGet, "http://"+address+"/report", nil)
-	if failure != nil {
-		return report, mishap.Wrap(failure, mishap.Garbage, address)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/report", nil)
+	if err != nil {
+		return report, mishap.Wrap(err, mishap.Garbage, address)
 	}
-	answer, failure := duty.client.Do(request)
-	if failure != nil {
-		return report, mishap.Wrap(failure, mishap.CircuitLost, address)
+	answer, err := duty.client.Do(request)
+	if err != nil {
+		return report, mishap.Wrap(err, mishap.CircuitLost, address)
 	}
 	defer answer.Body.Close()
-	failure = json.NewDecoder(io.LimitReader(answer.Body, 1<<20)).Decode(&report)
-	return report, mishap.Wrap(failure, mishap.Garbage, address)
+	err = json.NewDecoder(io.LimitReader(answer.Body, 1<<20)).Decode(&report)
+	return report, mishap.Wrap(err, mishap.Garbage, address)
 }
 
 func (duty *duty) fresh(name string) (catalogue.Report, bool) {
@@ -311,8 +311,8 @@
 	bounded, cancel := context.WithTimeout(parent, schedule.Second.Duration())
 	defer cancel()
 	operation := catalogue.Operation{Kind: catalogue.Sign, Contract: drawn}
-	if _, failure := duty.shard.propose(bounded, func() ([]byte, error) { return operation.Encode(), nil }); failure != nil {
-		log.Warn().Str("core", duty.core.Machine.Name).Str("service", drawn.Service).Err(failure).Msg("contract not signed")
+	if _, err := duty.shard.propose(bounded, func() ([]byte, error) { return operation.Encode(), nil }); err != nil {
+		log.Warn().Str("core", duty.core.Machine.Name).Str("service", drawn.Service).Err(err).Msg("contract not signed")
 	}
 }
 
--- a/internal/core/heads.go
+++ b/internal/core/heads.go
@@ -148,11 +148,11 @@
 		}
 		return answer, nil
 	})
-	circuit.Answer(core.inner, CopyPath, func(context context.Context, copies *Copies) (*Thanks, error) {
+	circuit.Answer(core.inner, CopyPath, func(ctx context.Context, copies *Copies) (*Thanks, error) {
 		thanks := &Thanks{}
 		for _, item := range copies.Items {
 			if item.Part >= 0 && item.Part < len(core.shards) && len(item.Data) > 0 {
-				core.shards[item.Part].offer(context, item)
+				core.shards[item.Part].offer(ctx, item)
 				thanks.Taken++
 			}
 		}
--- a/internal/core/learning.go
+++ b/internal/core/learning.go
@@ -18,7 +18,7 @@
 }
 
 // beginLearner starts a member that takes a copy and has no vote.
-func (shard *shard) beginLearner(context context.Context, slot int) {
+func (shard *shard) beginLearner(ctx context.Context, slot int) {
 	log.Info().Str("core", shard.core.Machine.Name).Int("part", shard.index).Int("slot", slot).Msg("copy begins")
 	bindings := *shard.seats.Load()
 	shard.renew()
@@ -26,7 +26,7 @@
 	place.Life += shard.begun
 	member, output := part.StartLearner(place, shard.state, shard.core.journal.Past(shard.index), shard.Clock.Now())
 	shard.member = member
-	shard.carry(context, output)
+	shard.carry(ctx, output)
 }
 
 // graduates gives a member that has just become a voter the claims that voters keep.
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -42,8 +42,8 @@
 	for _, duty := range core.duties {
 		duty.mirror = &mirror{directory: directory}
 		duty.mirror.begin()
-		duty.desk.Post = func(context context.Context, client *http.Client, given order.Order, address string) error {
-			return orders.Part(context, client, address, given.Part, given.Holder, given.Round)
+		duty.desk.Post = func(ctx context.Context, client *http.Client, given order.Order, address string) error {
+			return orders.Part(ctx, client, address, given.Part, given.Holder, given.Round)
 		}
 	}
 }
@@ -56,7 +56,7 @@
 
 // reflect is one turn of an owner that follows a directory. A new owner signs what it
 // knows first, and then lists.
-func (duty *duty) reflect(context context.Context) {
+func (duty *duty) reflect(ctx context.Context) {
 	mirror, status := duty.mirror, duty.shard.status.Load()
 	if status == nil || !status.Owner {
 		if mirror.round != 0 {
@@ -68,13 +68,13 @@
 	if mirror.round != status.Round {
 		mirror.begin()
 		mirror.round = status.Round
-		duty.contracts(context)
+		duty.contracts(ctx)
 	} else if now-mirror.last < mirrorSpan {
 		return
 	}
 	mirror.last = now
-	duty.follow(context)
-	duty.contracts(context)
+	duty.follow(ctx)
+	duty.contracts(ctx)
 }
 
 // follow lists the directory and takes over what has changed. What could not be listed
@@ -84,10 +84,10 @@
 	defer cancel()
 	mirror := duty.mirror
 	duty.polls.Add(1)
-	found, failure := mirror.directory.List(bounded)
-	if failure != nil {
+	found, err := mirror.directory.List(bounded)
+	if err != nil {
 		if !mirror.silent {
-			log.Warn().Str("core", duty.core.Machine.Name).Err(failure).Msg("engines not listed")
+			log.Warn().Str("core", duty.core.Machine.Name).Err(err).Msg("engines not listed")
 		}
 		mirror.silent = true
 		return
@@ -110,8 +110,8 @@
 	signing, end := context.WithTimeout(parent, schedule.Second.Duration())
 	defer end()
 	operation := catalogue.Operation{Kind: catalogue.Mirror, Put: put, Drop: drop}
-	_, failure = duty.shard.propose(signing, func() ([]byte, error) { return operation.Encode(), nil })
-	log.Info().Str("core", duty.core.Machine.Name).Int("put", len(put)).Int("drop", len(drop)).Err(failure).Msg("list of engines changed")
+	_, err = duty.shard.propose(signing, func() ([]byte, error) { return operation.Encode(), nil })
+	log.Info().Str("core", duty.core.Machine.Name).Int("put", len(put)).Int("drop", len(drop)).Err(err).Msg("list of engines changed")
 }
 
 func mirrored(listed port.Engine) catalogue.Engine {
@@ -122,11 +122,11 @@
 }
 
 // contracts signs a contract where one changed, and orders engines to other parts.
-func (duty *duty) contracts(context context.Context) {
+func (duty *duty) contracts(ctx context.Context) {
 	var view catalogue.View
 	var plan configuration.View
-	if !duty.shard.ask(context, func() { view = duty.engines.View }) ||
-		!duty.core.shards[0].ask(context, func() { plan = duty.core.configs.View() }) {
+	if !duty.shard.ask(ctx, func() { view = duty.engines.View }) ||
+		!duty.core.shards[0].ask(ctx, func() { plan = duty.core.configs.View() }) {
 		return
 	}
 	now, mirror := duty.core.clock.Now(), duty.mirror
@@ -151,7 +151,7 @@
 		if !drawn.Same(signed) {
 			log.Info().Str("core", duty.core.Machine.Name).Str("service", service).Uint64("round", drawn.Round).
 				Int("readers", drawn.Count(contract.Prefill)).Int("makers", drawn.Count(contract.Decode)).Int("routers", len(drawn.Routers)).Float64("reading", fraction).Msg("contract")
-			group.Go(func() { duty.sign(context, drawn) })
+			group.Go(func() { duty.sign(ctx, drawn) })
 		}
 		right := duty.shard.right.Load()
 		if !right.Covers(now, duty.desk.Budget) {
@@ -162,7 +162,7 @@
 			if due.first {
 				duty.desk.Forget(due.Name)
 			}
-			duty.desk.Give(context, right, report, order.Standing{Part: due.Part})
+			duty.desk.Give(ctx, right, report, order.Standing{Part: due.Part})
 		}
 	}
 }
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -109,28 +109,28 @@
 	return "", mishap.New(mishap.NotOwner, "part %d: no seat is known here", shard.index)
 }
 
-func (core *Core) perform(context context.Context, shard *shard, errand *Errand) (*Errands, error) {
+func (core *Core) perform(ctx context.Context, shard *shard, errand *Errand) (*Errands, error) {
 	answer := &Errands{}
 	switch {
 	case errand.Configure != nil:
-		outcome, failure := core.configure(context, shard, *errand.Configure)
+		outcome, err := core.configure(ctx, shard, *errand.Configure)
 		answer.Outcome = outcome
-		return answer, failure
+		return answer, err
 	case errand.Engines != nil:
-		data, failure := shard.propose(context, func() ([]byte, error) { return errand.Engines.Encode(), nil })
-		if failure != nil {
-			return nil, failure
+		data, err := shard.propose(ctx, func() ([]byte, error) { return errand.Engines.Encode(), nil })
+		if err != nil {
+			return nil, err
 		}
-		result, failure := catalogue.ReadResult(data)
+		result, err := catalogue.ReadResult(data)
 		answer.Code, answer.Sequence = result.Code, result.Sequence
-		return answer, failure
+		return answer, err
 	}
-	return answer, core.read(context, shard, errand, answer)
+	return answer, core.read(ctx, shard, errand, answer)
 }
 
 // read answers once a majority has confirmed, after the call came, that this core leads.
-func (core *Core) read(context context.Context, shard *shard, errand *Errand, answer *Errands) error {
-	return shard.confirmed(context, func() {
+func (core *Core) read(ctx context.Context, shard *shard, errand *Errand, answer *Errands) error {
+	return shard.confirmed(ctx, func() {
 		if shard.index > 0 {
 			answer.Engines = core.duties[shard.index-1].engines.View
 			return
@@ -146,7 +146,7 @@
 	})
 }
 
-func (core *Core) configure(context context.Context, shard *shard, request configuration.Request) (configuration.Outcome, error) {
+func (core *Core) configure(ctx context.Context, shard *shard, request configuration.Request) (configuration.Outcome, error) {
 	// One expansion at a time: whoever comes second then sees the first one's sequence, and
 	// is declined without one. All others are judged by the log alone, and wait for nobody.
 	free := func() {}
@@ -155,14 +155,14 @@
 		case core.configuring <- struct{}{}:
 			free = sync.OnceFunc(func() { <-core.configuring })
 			defer func() { free() }()
-		case <-context.Done():
+		case <-ctx.Done():
 			return configuration.Outcome{}, mishap.New(mishap.NoMajority, "another operation is under way; nothing was changed")
 		}
 	}
 	var view configuration.View
 	var earlier configuration.Outcome
 	var known bool
-	if !shard.ask(context, func() {
+	if !shard.ask(ctx, func() {
 		view = core.configs.View()
 		earlier, known = core.configs.Outcome(request.Key)
 	}) {
@@ -174,66 +174,66 @@
 	request.Regions = core.Settings.Regions().Names()
 	var operation configuration.Operation
 	if !known {
-		drafted, failure := core.draft(context, view, request, &free)
-		if failure != nil && mishap.CodeOf(failure, mishap.Malformed) != mishap.ConfigurationCostly {
-			drafted, failure = core.redraft(context, shard, &view, request, &free, failure)
+		drafted, err := core.draft(ctx, view, request, &free)
+		if err != nil && mishap.CodeOf(err, mishap.Malformed) != mishap.ConfigurationCostly {
+			drafted, err = core.redraft(ctx, shard, &view, request, &free, err)
 		}
-		if code := mishap.CodeOf(failure, mishap.Malformed); failure != nil && (code == mishap.NoMajority || code == mishap.NotOwner) {
-			return configuration.Outcome{}, failure
+		if code := mishap.CodeOf(err, mishap.Malformed); err != nil && (code == mishap.NoMajority || code == mishap.NotOwner) {
+			return configuration.Outcome{}, err
 		}
-		if failure != nil {
-			return configuration.Outcome{Code: mishap.CodeOf(failure, mishap.Malformed), Sequence: view.Sequence, Text: mishap.Text(failure)}, nil
+		if err != nil {
+			return configuration.Outcome{Code: mishap.CodeOf(err, mishap.Malformed), Sequence: view.Sequence, Text: mishap.Text(err)}, nil
 		}
 		operation = drafted
 	} else {
 		operation.Key = request.Key
 		log.Info().Str("core", core.Machine.Name).Str("key", request.Key).Int("code", int(earlier.Code)).Msg("operation seen before")
 	}
-	data, failure := shard.propose(context, func() ([]byte, error) { return configuration.Encode(operation), nil })
-	if failure != nil {
-		return configuration.Outcome{}, failure
+	data, err := shard.propose(ctx, func() ([]byte, error) { return configuration.Encode(operation), nil })
+	if err != nil {
+		return configuration.Outcome{}, err
 	}
 	var outcome configuration.Outcome
-	failure = gob.NewDecoder(bytes.NewReader(data)).Decode(&outcome)
-	if failure == nil && outcome.Code == mishap.Fine {
+	err = gob.NewDecoder(bytes.NewReader(data)).Decode(&outcome)
+	if err == nil && outcome.Code == mishap.Fine {
 		log.Info().Str("core", core.Machine.Name).Str("kind", string(request.Kind)).Uint64("sequence", outcome.Sequence).Msg("configuration in force")
 	}
-	return outcome, mishap.Wrap(failure, mishap.Garbage, "outcome")
+	return outcome, mishap.Wrap(err, mishap.Garbage, "outcome")
 }
 
 // redraft judges a request that is to be declined once more, if what a majority confirms to
 // be in force is later than what it was judged by: a refusal is never told from this core's
 // own view alone.
 func (core *Core) redraft(
-	context context.Context, shard *shard, view *configuration.View, request configuration.Request, free *func(), declined error,
+	ctx context.Context, shard *shard, view *configuration.View, request configuration.Request, free *func(), declined error,
 ) (configuration.Operation, error) {
 	judged := view.Sequence
-	if err := shard.confirmed(context, func() { *view = core.configs.View() }); err != nil {
+	if err := shard.confirmed(ctx, func() { *view = core.configs.View() }); err != nil {
 		return configuration.Operation{}, err
 	}
 	if view.Sequence == judged {
 		return configuration.Operation{}, declined
 	}
-	return core.draft(context, *view, request, free)
+	return core.draft(ctx, *view, request, free)
 }
 
 // draft evaluates a request within the operation's budget. The library can't be
 // interrupted: an evaluation that takes longer goes on alone, its operation is declined,
 // and the next one waits for its end.
-func (core *Core) draft(context context.Context, view configuration.View, request configuration.Request, free *func()) (configuration.Operation, error) {
+func (core *Core) draft(ctx context.Context, view configuration.View, request configuration.Request, free *func()) (configuration.Operation, error) {
 	type drafted struct {
 		operation configuration.Operation
 		failure   error
 	}
 	done, release := make(chan drafted, 1), *free
 	go func() {
-		operation, failure := view.Draft(request)
-		done <- drafted{operation, failure}
+		operation, err := view.Draft(request)
+		done <- drafted{operation, err}
 	}()
 	select {
 	case found := <-done:
 		return found.operation, found.failure
-	case <-context.Done():
+	case <-ctx.Done():
 		*free = func() {}
 		go func() {
 			<-done
@@ -244,12 +244,12 @@
 }
 
 func (core *Core) serveErrands() {
-	circuit.Answer(core.inner, operatePath, func(context context.Context, errand *Errand) (*Errands, error) {
+	circuit.Answer(core.inner, operatePath, func(ctx context.Context, errand *Errand) (*Errands, error) {
 		errand.Hops = max(errand.Hops, 1)
-		answer, failure := core.operate(context, errand)
-		if failure == nil {
+		answer, err := core.operate(ctx, errand)
+		if err == nil {
 			return answer, nil
 		}
-		return &Errands{Outcome: configuration.Outcome{Code: mishap.CodeOf(failure, mishap.OutcomeUnknown), Text: mishap.Text(failure)}}, nil
+		return &Errands{Outcome: configuration.Outcome{Code: mishap.CodeOf(err, mishap.OutcomeUnknown), Text: mishap.Text(err)}}, nil
 	})
 }
--- a/internal/core/public.go
+++ b/internal/core/public.go
@@ -141,16 +141,16 @@
 }
 
 func (core *Core) answer(writer http.ResponseWriter, request *http.Request, errand *Errand, write func(*Errands)) {
-	answer, failure := core.operate(request.Context(), errand)
-	if failure == nil && answer.Code != mishap.Fine {
-		failure = mishap.New(answer.Code, "%s", answer.Text)
+	answer, err := core.operate(request.Context(), errand)
+	if err == nil && answer.Code != mishap.Fine {
+		err = mishap.New(answer.Code, "%s", answer.Text)
 	}
-	if failure != nil {
+	if err != nil {
 		retry := schedule.Microseconds(0)
-		if code := mishap.CodeOf(failure, mishap.OutcomeUnknown); code == mishap.NotOwner || code == mishap.NoMajority {
+		if code := mishap.CodeOf(err, mishap.OutcomeUnknown); code == mishap.NotOwner || code == mishap.NoMajority {
 			retry = core.comeBack()
 		}
-		circuit.WriteDecline(writer, failure, "", retry)
+		circuit.WriteDecline(writer, err, "", retry)
 		return
 	}
 	write(answer)
@@ -158,8 +158,8 @@
 
 func (core *Core) takeOperation(writer http.ResponseWriter, request *http.Request) {
 	var wanted configuration.Request
-	if failure := circuit.ReadJSON(writer, request, configuration.Largest+(1<<20), &wanted); failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	if err := circuit.ReadJSON(writer, request, configuration.Largest+(1<<20), &wanted); err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	if wanted.Key == "" || len(wanted.Key) > 128 {
@@ -205,8 +205,8 @@
 
 func (core *Core) enrolEngine(writer http.ResponseWriter, request *http.Request) {
 	var engine catalogue.Engine
-	if failure := circuit.ReadJSON(writer, request, 64<<10, &engine); failure != nil {
-		circuit.WriteDecline(writer, failure, "", 0)
+	if err := circuit.ReadJSON(writer, request, 64<<10, &engine); err != nil {
+		circuit.WriteDecline(writer, err, "", 0)
 		return
 	}
 	if engine.Name == "" || engine.Service == "" || engine.Hall == "" || engine.Incarnation == "" || circuit.CheckAddress(engine.Address) != nil {
--- a/internal/core/reading.go
+++ b/internal/core/reading.go
@@ -18,21 +18,21 @@
 // confirmed runs a question inside the shard, once a majority that was asked after this call
 // came has confirmed that this core still leads the part: what the question sees has all
 // that was acknowledged before the call. An error says that it was not run.
-func (shard *shard) confirmed(context context.Context, question func()) error {
+func (shard *shard) confirmed(ctx context.Context, question func()) error {
 	read := &pendingRead{question: question, done: make(chan error, 1)}
-	queued := shard.Put(context, func() { shard.beginRead(context, read) })
+	queued := shard.Put(ctx, func() { shard.beginRead(ctx, read) })
 	if !queued {
 		return mishap.New(mishap.NoMajority, "part %d", shard.index)
 	}
 	select {
 	case err := <-read.done:
 		return err
-	case <-context.Done():
+	case <-ctx.Done():
 		return mishap.New(mishap.NoMajority, "part %d: no majority has confirmed", shard.index)
 	}
 }
 
-func (shard *shard) beginRead(context context.Context, read *pendingRead) {
+func (shard *shard) beginRead(ctx context.Context, read *pendingRead) {
 	if shard.member == nil {
 		read.done <- shard.notOwner()
 		return
@@ -79,10 +79,10 @@
 	return part.Echo{Part: shard.index, Slot: status.Slot, Promised: status.Promised, Recovering: status.Recovering}, true
 }
 
-func (shard *shard) echoed(context context.Context, asked schedule.Microseconds, address string, echo part.Echo) {
-	shard.Put(context, func() {
+func (shard *shard) echoed(ctx context.Context, asked schedule.Microseconds, address string, echo part.Echo) {
+	shard.Put(ctx, func() {
 		if shard.member != nil {
-			shard.carry(context, shard.member.Echoed(shard.Clock.Now(), asked, address, echo))
+			shard.carry(ctx, shard.member.Echoed(shard.Clock.Now(), asked, address, echo))
 		}
 	})
 }
--- a/internal/core/seek.go
+++ b/internal/core/seek.go
@@ -31,9 +31,9 @@
 
 // seek asks the cores that are known for the bindings of all parts, as long as this
 // one has no seat or hears too little to trust in it. Whoever owns a part may give it a seat there.
-func (core *Core) seek(context context.Context) {
+func (core *Core) seek(ctx context.Context) {
 	lone := make([]schedule.Microseconds, len(core.shards))
-	schedule.Every(context, seekSpan, func() {
+	schedule.Every(ctx, seekSpan, func() {
 		now, wanting := core.clock.Now(), false
 		for index, shard := range core.shards {
 			status := shard.status.Load()
@@ -43,7 +43,7 @@
 			wanting = wanting || status == nil || status.Slot < 0 || now-lone[index] > loneSpan
 		}
 		if wanting {
-			core.join(context)
+			core.join(ctx)
 		}
 	})
 }
@@ -78,7 +78,7 @@
 	return core.seat
 }
 
-func (core *Core) join(context context.Context) {
+func (core *Core) join(ctx context.Context) {
 	question := &Joining{Daemon: core.asking(), Replaces: core.Replaces, Override: core.Override, Reserve: core.Reserve}
 	if question.Replaces == "" {
 		question.Replaces = core.Machine.Name
@@ -86,13 +86,13 @@
 	var group sync.WaitGroup
 	for address := range core.addresses() {
 		group.Go(func() {
-			answer, failure := circuit.Call[Joining, Seats](context, core.inner, address, joinPath, seekSpan, question)
-			if failure != nil {
+			answer, err := circuit.Call[Joining, Seats](ctx, core.inner, address, joinPath, seekSpan, question)
+			if err != nil {
 				return
 			}
 			for index, bindings := range answer.Parts {
 				if index < len(core.shards) && len(bindings.Seats) == core.Group() {
-					core.shards[index].learn(context, bindings)
+					core.shards[index].learn(ctx, bindings)
 				}
 			}
 		})
@@ -102,8 +102,8 @@
 
 // learn takes later bindings: they may give this daemon a seat, or show that its own
 // has gone to another while it was away.
-func (shard *shard) learn(context context.Context, bindings part.Bindings) {
-	shard.Put(context, func() {
+func (shard *shard) learn(ctx context.Context, bindings part.Bindings) {
+	shard.Put(ctx, func() {
 		slot := bindings.Slot(shard.core.seat)
 		switch {
 		case bindings.Epoch < shard.seats.Load().Epoch:
@@ -113,7 +113,7 @@
 			// The leader's entries tell it.
 		case shard.member == nil && slot >= 0:
 			log.Info().Str("core", shard.core.Machine.Name).Int("part", shard.index).Int("slot", slot).Uint64("epoch", bindings.Epoch).Msg("seat found")
-			shard.begin(context, bindings, false)
+			shard.begin(ctx, bindings, false)
 		case shard.member == nil:
 			shard.seats.Store(&bindings)
 		case slot < 0:
@@ -124,7 +124,7 @@
 
 // enrol gives a seat to a daemon that has none, if this core owns the part: the seat
 // of the daemon it replaces, once its holder has been silent for a whole lease.
-func (shard *shard) enrol(context context.Context, joining Joining) {
+func (shard *shard) enrol(ctx context.Context, joining Joining) {
 	member := shard.member
 	if member == nil || !member.Owns() || joining.Daemon.Identity == "" || joining.Daemon.Address == "" {
 		return
@@ -140,7 +140,7 @@
 		slot = shard.spare(now, bindings, joining.Daemon.Hall)
 	}
 	if seated := bindings.Slot(joining.Daemon); seated >= 0 {
-		shard.carry(context, member.Restore(now, seated, joining.Daemon))
+		shard.carry(ctx, member.Restore(now, seated, joining.Daemon))
 		return
 	}
 	if slot < 0 {
@@ -148,7 +148,7 @@
 	}
 	leaving := joining.Reserve && shard.core.drained(bindings.Seats[slot].Hall)
 	entitled := bindings.Seats[slot].Vacant() || joining.Override || leaving || member.Absent(now, slot) >= shard.core.patience(joining)
-	shard.carry(context, member.Teach(now, slot, joining.Daemon, entitled))
+	shard.carry(ctx, member.Teach(now, slot, joining.Daemon, entitled))
 }
 
 // reservePatience is how long a seat's holder must be silent for a reserve to have it.
@@ -203,11 +203,11 @@
 }
 
 func (core *Core) serveJoins() {
-	circuit.Answer(core.inner, joinPath, func(context context.Context, joining *Joining) (*Seats, error) {
+	circuit.Answer(core.inner, joinPath, func(ctx context.Context, joining *Joining) (*Seats, error) {
 		answer := &Seats{Parts: make([]part.Bindings, len(core.shards))}
 		for index, shard := range core.shards {
 			var found part.Bindings
-			if shard.ask(context, func() {
+			if shard.ask(ctx, func() {
 				shard.enrol(core.running, *joining)
 				found = *shard.seats.Load()
 			}) {
--- a/internal/core/sender.go
+++ b/internal/core/sender.go
@@ -71,11 +71,11 @@
 	return sender.gauge.Stamp(at)
 }
 
-func (sender *sender) send(context context.Context, message part.Message) {
+func (sender *sender) send(ctx context.Context, message part.Message) {
 	each := outgoing{message, sender.clock.Now()}
 	if message.Kind == part.Elect || message.Kind == part.Confirm {
 		// The answer shows contact, and may take as long again as the message.
-		go sender.deliver(context, each.at, 2*sender.delta, []part.Message{message})
+		go sender.deliver(ctx, each.at, 2*sender.delta, []part.Message{message})
 		return
 	}
 	size := int64(message.Size())
@@ -92,10 +92,10 @@
 	}
 }
 
-func (sender *sender) run(context context.Context) {
+func (sender *sender) run(ctx context.Context) {
 	for {
 		select {
-		case <-context.Done():
+		case <-ctx.Done():
 			return
 		case first := <-sender.queue:
 			messages := []part.Message{first.Message}
@@ -105,27 +105,27 @@
 				size += messages[len(messages)-1].Size()
 			}
 			sender.queued.Add(-int64(size))
-			sender.deliver(context, first.at, 5*sender.delta, messages)
+			sender.deliver(ctx, first.at, 5*sender.delta, messages)
 		}
 	}
 }
 
-func (sender *sender) deliver(context context.Context, at, budget schedule.Microseconds, messages []part.Message) {
+func (sender *sender) deliver(ctx context.Context, at, budget schedule.Microseconds, messages []part.Message) {
 	stamp := sender.stamp(at)
 	if !stamp.Known {
-		sender.call(context, at, budget, &Parcel{Sender: sender.self})
+		sender.call(ctx, at, budget, &Parcel{Sender: sender.self})
 		stamp = sender.stamp(at)
 	}
-	if !sender.call(context, at, budget, &Parcel{Stamp: stamp, Sender: sender.self, Messages: messages}) {
+	if !sender.call(ctx, at, budget, &Parcel{Stamp: stamp, Sender: sender.self, Messages: messages}) {
 		sender.Dropped.Add(int64(len(messages)))
 		return
 	}
 	sender.Sent.Add(int64(len(messages)))
 }
 
-func (sender *sender) call(context context.Context, at, budget schedule.Microseconds, parcel *Parcel) bool {
-	receipt, failure := circuit.Call[Parcel, Receipt](context, sender.inner, sender.address, deliverPath, budget, parcel)
-	if failure != nil {
+func (sender *sender) call(ctx context.Context, at, budget schedule.Microseconds, parcel *Parcel) bool {
+	receipt, err := circuit.Call[Parcel, Receipt](ctx, sender.inner, sender.address, deliverPath, budget, parcel)
+	if err != nil {
 		return false
 	}
 	sender.lock.Lock()
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -71,29 +71,29 @@
 	offered atomic.Uint64
 }
 
-func (shard *shard) run(context context.Context) {
+func (shard *shard) run(ctx context.Context) {
 	founding := part.Founding(shard.core.Seeds, shard.core.Group())
 	if shard.core.Joining {
 		founding = part.Bindings{Seats: make([]part.Seat, shard.core.Group())}
 	}
-	shard.begin(context, founding, shard.core.First)
-	shard.Run(context, func(step func()) schedule.Microseconds {
+	shard.begin(ctx, founding, shard.core.First)
+	shard.Run(ctx, func(step func()) schedule.Microseconds {
 		step()
-		return shard.next(context)
+		return shard.next(ctx)
 	}, func() schedule.Microseconds {
 		if shard.member != nil {
 			stalled := schedule.Of(shard.core.journal.Stalled()) > stallDeltas*shard.core.DeltaSpan()
 			shard.member.Hold(stalled || shard.core.yields(shard.member.Bindings()))
-			shard.carry(context, shard.member.Wake(shard.Clock.Now()))
+			shard.carry(ctx, shard.member.Wake(shard.Clock.Now()))
 		}
-		return shard.next(context)
+		return shard.next(ctx)
 	})
 }
 
 // begin starts the member that the bindings give to this daemon, if any; its own
 // disk may know later ones. Only the seats of a first start have nothing to recover: one
 // that is given later may have been another's.
-func (shard *shard) begin(context context.Context, bindings part.Bindings, first bool) {
+func (shard *shard) begin(ctx context.Context, bindings part.Bindings, first bool) {
 	past := shard.core.journal.Past(shard.index)
 	if held, read := part.LastBindings(past); read && held.Epoch >= bindings.Epoch {
 		bindings = held
@@ -110,11 +110,11 @@
 	place.Life += shard.begun
 	member, output := part.Start(place, shard.state, past, shard.Clock.Now(), first)
 	shard.member = member
-	shard.carry(context, output)
+	shard.carry(ctx, output)
 }
 
 // next also ends a member whose seat is another's.
-func (shard *shard) next(context context.Context) schedule.Microseconds {
+func (shard *shard) next(ctx context.Context) schedule.Microseconds {
 	if shard.member == nil {
 		return schedule.Never
 	}
@@ -123,7 +123,7 @@
 		return schedule.Never
 	}
 	if shard.member.Owns() {
-		shard.carry(context, shard.member.Pin(shard.Clock.Now()))
+		shard.carry(ctx, shard.member.Pin(shard.Clock.Now()))
 	}
 	return shard.member.Next()
 }
@@ -142,13 +142,13 @@
 	shard.status.Store(&Status{Part: shard.index, Slot: -1, Leader: -1})
 }
 
-func (shard *shard) receive(context context.Context, message part.Message) {
-	shard.Put(context, func() {
+func (shard *shard) receive(ctx context.Context, message part.Message) {
+	shard.Put(ctx, func() {
 		if shard.learns(message) {
-			shard.beginLearner(context, message.To)
+			shard.beginLearner(ctx, message.To)
 		}
 		if shard.member != nil {
-			shard.carry(context, shard.member.Receive(shard.Clock.Now(), message))
+			shard.carry(ctx, shard.member.Receive(shard.Clock.Now(), message))
 			shard.graduates()
 		}
 	})
@@ -156,8 +156,8 @@
 
 // What others read is shown before anything is answered, so that whoever hears an
 // acknowledgement finds it in the heads of a majority.
-func (shard *shard) carry(context context.Context, output part.Output) {
-	shard.show(context, output.Applied)
+func (shard *shard) carry(ctx context.Context, output part.Output) {
+	shard.show(ctx, output.Applied)
 	for _, message := range output.Urgent {
 		shard.core.post(message)
 	}
@@ -199,7 +199,7 @@
 }
 
 // show publishes what others read: status, right, head and news.
-func (shard *shard) show(context context.Context, applied bool) {
+func (shard *shard) show(ctx context.Context, applied bool) {
 	member, now := shard.member, shard.Clock.Now()
 	seats := member.Bindings()
 	slot := member.Self
@@ -236,25 +236,25 @@
 		item := news.Item{Head: head, Data: member.Capture(), Steps: shard.steps(head.Index)}
 		shard.published = head.Index
 		shard.head.Store(&head)
-		go shard.core.gossip.Publish(context, item)
+		go shard.core.gossip.Publish(ctx, item)
 	}
 }
 
 // propose puts an operation into the log and waits for its result.
-func (shard *shard) propose(context context.Context, draft func() ([]byte, error)) ([]byte, error) {
+func (shard *shard) propose(ctx context.Context, draft func() ([]byte, error)) ([]byte, error) {
 	type placed struct {
 		waiting chan []byte
 		failure error
 	}
 	answer := make(chan placed, 1)
-	queued := shard.Put(context, func() {
+	queued := shard.Put(ctx, func() {
 		if shard.member == nil || !shard.member.Confirmed(shard.Clock.Now()) {
 			answer <- placed{nil, mishap.New(mishap.NotOwner, "part %d", shard.index)}
 			return
 		}
-		operation, failure := draft()
-		if failure != nil {
-			answer <- placed{nil, failure}
+		operation, err := draft()
+		if err != nil {
+			answer <- placed{nil, err}
 			return
 		}
 		index, round, _, output := shard.member.Propose(shard.Clock.Now(), operation)
@@ -263,7 +263,7 @@
 		shard.waiting[spot{index, round}] = waiting
 		shard.lock.Unlock()
 		answer <- placed{waiting, nil}
-		shard.carry(context, output)
+		shard.carry(ctx, output)
 	})
 	if !queued {
 		return nil, mishap.New(mishap.NoMajority, "part %d", shard.index)
@@ -271,7 +271,7 @@
 	var found placed
 	select {
 	case found = <-answer:
-	case <-context.Done():
+	case <-ctx.Done():
 		return nil, mishap.New(mishap.OutcomeUnknown, "part %d", shard.index)
 	}
 	if found.failure != nil {
@@ -282,28 +282,28 @@
 		if open {
 			return result, nil
 		}
-	case <-context.Done():
+	case <-ctx.Done():
 	}
 	return nil, mishap.New(mishap.OutcomeUnknown, "part %d", shard.index)
 }
 
 // ask runs a question inside the shard.
-func (shard *shard) ask(context context.Context, question func()) bool {
+func (shard *shard) ask(ctx context.Context, question func()) bool {
 	done := make(chan struct{})
-	if !shard.Put(context, func() { question(); close(done) }) {
+	if !shard.Put(ctx, func() { question(); close(done) }) {
 		return false
 	}
 	select {
 	case <-done:
 		return true
-	case <-context.Done():
+	case <-ctx.Done():
 		return false
 	}
 }
 
 // offer hands a router's copy of the part to a member that recovers.
-func (shard *shard) offer(context context.Context, item news.Item) {
-	shard.Put(context, func() {
+func (shard *shard) offer(ctx context.Context, item news.Item) {
+	shard.Put(ctx, func() {
 		if shard.member != nil && shard.member.Recovering() {
 			if item.Index <= shard.offered.Load() {
 				return
