--- a/internal/configuration/bench_test.go
+++ b/internal/configuration/bench_test.go
@@ -19,8 +19,8 @@
 	}
 	document.WriteString("}\n")
 	for bench.Loop() {
-		if _, failure := configuration.Expand(document.String(), map[string]string{"startMilliseconds": "450"}); failure != nil {
-			bench.Fatal(failure)
+		if _, err := configuration.Expand(document.String(), map[string]string{"startMilliseconds": "450"}); err != nil {
+			bench.Fatal(err)
 		}
 	}
 }
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -16,22 +16,22 @@
 )
 
 func example(name string) string {
-	text, failure := os.ReadFile("../../examples/" + name + ".cue")
-	So(failure, ShouldBeNil)
+	text, err := os.ReadFile("../../examples/" + name + ".cue")
+	So(err, ShouldBeNil)
 	return string(text)
 }
 
 func TestExamplesExpand(test *testing.T) {
 	Convey("both deployments' examples expand, and parameters reach the templates", test, func() {
-		plan, failure := configuration.Expand(example("asociacion"), nil)
-		So(failure, ShouldBeNil)
-		template, failure := plan.Template("asociacion", "waiver")
-		So(failure, ShouldBeNil)
+		plan, err := configuration.Expand(example("asociacion"), nil)
+		So(err, ShouldBeNil)
+		template, err := plan.Template("asociacion", "waiver")
+		So(err, ShouldBeNil)
 		So(template.StartMilliseconds, ShouldEqual, 500)
 		So(template.AbandonMilliseconds, ShouldEqual, 3000)
 		So(template.OneShot(), ShouldBeTrue)
-		plan, failure = configuration.Expand(example("merrimack"), map[string]string{"startMilliseconds": "400"})
-		So(failure, ShouldBeNil)
+		plan, err = configuration.Expand(example("merrimack"), map[string]string{"startMilliseconds": "400"})
+		So(err, ShouldBeNil)
 		template, _ = plan.Template("merrimack", "dispatch")
 		So(template.StartMilliseconds, ShouldEqual, 400)
 		So(template.OneShot(), ShouldBeFalse)
@@ -56,20 +56,20 @@
 		"start past end":   {`halls: ["a"], services: s: versions: ["1"], parameters: {}, tenants: t: kinds: k: {service: "s", abandonMilliseconds: 300, startMilliseconds: 400}`, "startMilliseconds"},
 	}
 	Convey("a good document is taken", test, func() {
-		_, failure := configuration.Expand(good, nil)
-		So(failure, ShouldBeNil)
+		_, err := configuration.Expand(good, nil)
+		So(err, ShouldBeNil)
 	})
 	for name, each := range bad {
 		Convey(name+" is declined", test, func() {
-			_, failure := configuration.Expand(each[0], nil)
-			So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationInvalid)
-			So(mishap.Text(failure), ShouldContainSubstring, each[1])
+			_, err := configuration.Expand(each[0], nil)
+			So(mishap.CodeOf(err, 0), ShouldEqual, mishap.ConfigurationInvalid)
+			So(mishap.Text(err), ShouldContainSubstring, each[1])
 		})
 	}
 	Convey("changes that don't fit are declined", test, func() {
 		for path, value := range map[string]string{"p": `"text"`, "q": "1", "p.q": "1", "p[": "1"} {
-			_, failure := configuration.Expand(good, map[string]string{path: value})
-			So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationInvalid)
+			_, err := configuration.Expand(good, map[string]string{path: value})
+			So(mishap.CodeOf(err, 0), ShouldEqual, mishap.ConfigurationInvalid)
 		}
 	})
 }
@@ -82,9 +82,9 @@
 		start := func() *configuration.State {
 			state := configuration.NewState()
 			view := state.View()
-			operation, failure := view.Draft(configuration.Request{Kind: configuration.Whole, Key: "first", Document: document})
-			if failure != nil {
-				test.Fatal(failure)
+			operation, err := view.Draft(configuration.Request{Kind: configuration.Whole, Key: "first", Document: document})
+			if err != nil {
+				test.Fatal(err)
 			}
 			state.Apply(configuration.Encode(operation))
 			return state
@@ -97,8 +97,8 @@
 			{Kind: configuration.Evacuate, Key: "hall", Expected: 1, Hall: "sur"},
 			{Kind: configuration.Evacuate, Key: "hall", Expected: 1, Hall: "sur"},
 		} {
-			operation, failure := view.Draft(request)
-			So(failure, ShouldBeNil)
+			operation, err := view.Draft(request)
+			So(err, ShouldBeNil)
 			drafts = append(drafts, configuration.Encode(operation))
 		}
 		simulation.Orders(len(drafts), func(order []int) {
@@ -106,8 +106,8 @@
 			won := map[string]bool{}
 			for _, place := range order {
 				var outcome configuration.Outcome
-				if failure := gob.NewDecoder(bytes.NewReader(state.Apply(drafts[place]))).Decode(&outcome); failure != nil {
-					test.Fatal(failure)
+				if err := gob.NewDecoder(bytes.NewReader(state.Apply(drafts[place]))).Decode(&outcome); err != nil {
+					test.Fatal(err)
 				}
 				if name := []string{"whole", "small", "hall", "hall"}[place]; outcome.Code == mishap.Fine {
 					won[name] = true
@@ -126,8 +126,8 @@
 		step := func(request configuration.Request) configuration.Outcome {
 			view := state.View()
 			request.Expected, request.Key = view.Sequence, fmt.Sprint(view.Sequence, request.Kind)
-			operation, failure := view.Draft(request)
-			So(failure, ShouldBeNil)
+			operation, err := view.Draft(request)
+			So(err, ShouldBeNil)
 			var outcome configuration.Outcome
 			So(gob.NewDecoder(bytes.NewReader(state.Apply(configuration.Encode(operation)))).Decode(&outcome), ShouldBeNil)
 			return outcome
@@ -140,8 +140,8 @@
 		So(state.View().Evacuated, ShouldBeEmpty)
 		So(step(configuration.Request{Kind: configuration.Back}).Sequence, ShouldEqual, 5)
 		now := state.View()
-		template, failure := now.Plan.Template("asociacion", "waiver")
-		So(failure, ShouldBeNil)
+		template, err := now.Plan.Template("asociacion", "waiver")
+		So(err, ShouldBeNil)
 		So(template.StartMilliseconds, ShouldEqual, 450)
 		So(step(configuration.Request{Kind: configuration.Back}).Sequence, ShouldEqual, 6)
 		now = state.View()
@@ -154,8 +154,8 @@
 	})
 	Convey("an unknown hall is declined without effect", test, func() {
 		view := configuration.NewState().View()
-		_, failure := view.Draft(configuration.Request{Kind: configuration.Evacuate, Key: "x", Hall: "nowhere"})
-		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.UnknownHall)
+		_, err := view.Draft(configuration.Request{Kind: configuration.Evacuate, Key: "x", Hall: "nowhere"})
+		So(mishap.CodeOf(err, 0), ShouldEqual, mishap.UnknownHall)
 	})
 }
 
@@ -167,8 +167,8 @@
 			fmt.Fprintf(&document, "\"p%d\": tokens: 1\n", number)
 		}
 		document.WriteString("}\n")
-		_, failure := configuration.Expand(document.String(), nil)
-		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationCostly)
+		_, err := configuration.Expand(document.String(), nil)
+		So(mishap.CodeOf(err, 0), ShouldEqual, mishap.ConfigurationCostly)
 	})
 }
 
@@ -179,8 +179,8 @@
 func TestEvacuationNeverLosesItsRace(test *testing.T) {
 	Convey("in every order, sent again or not", test, func() {
 		document := example("asociacion")
-		plan, failure := configuration.Expand(document, nil)
-		So(failure, ShouldBeNil)
+		plan, err := configuration.Expand(document, nil)
+		So(err, ShouldBeNil)
 		requests := []configuration.Request{
 			{Kind: configuration.Small, Expected: 1, Changes: map[string]string{"startMilliseconds": "410"}},
 			{Kind: configuration.Small, Expected: 1, Changes: map[string]string{"startMilliseconds": "420"}},
@@ -196,8 +196,8 @@
 				for _, place := range order {
 					request := requests[place]
 					request.Key = fmt.Sprint(place)
-					drafted, failure := view.Draft(request)
-					if failure != nil {
+					drafted, err := view.Draft(request)
+					if err != nil {
 						So(place, ShouldEqual, 3)
 						continue
 					}
--- a/internal/configuration/notices.go
+++ b/internal/configuration/notices.go
@@ -54,8 +54,8 @@
 // enactNotice puts a notice in force, takes it back, or notes its phase, whatever else
 // was changed before.
 func (state *State) enactNotice(operation Operation) Outcome {
-	if failure := state.judge(operation.Request); failure != nil {
-		return Outcome{Code: mishap.CodeOf(failure, mishap.Malformed), Sequence: state.Sequence, Text: mishap.Text(failure)}
+	if err := state.judge(operation.Request); err != nil {
+		return Outcome{Code: mishap.CodeOf(err, mishap.Malformed), Sequence: state.Sequence, Text: mishap.Text(err)}
 	}
 	state.Sequence++
 	made := operation.Notice
--- a/internal/configuration/plan.go
+++ b/internal/configuration/plan.go
@@ -110,34 +110,34 @@
 	if len(document) > Largest {
 		return Plan{}, mishap.New(mishap.ConfigurationInvalid, "the document has more than %d bytes", Largest)
 	}
-	file, failure := parser.ParseFile("configuration.cue", document)
-	if failure != nil {
-		return Plan{}, declined(failure)
+	file, err := parser.ParseFile("configuration.cue", document)
+	if err != nil {
+		return Plan{}, declined(err)
 	}
 	if spent := cost(file); spent > mostCost {
 		return Plan{}, mishap.New(mishap.ConfigurationCostly, "cost %d of at most %d, by the squares of the fields of each struct", spent, int64(mostCost))
 	}
 	source := document + "\n"
 	for path, text := range changes {
-		added, failure := change(file, path, text)
-		if failure != nil {
-			return Plan{}, failure
+		added, err := change(file, path, text)
+		if err != nil {
+			return Plan{}, err
 		}
 		source += added
 	}
 	context := cuecontext.New()
 	shapes := context.CompileString(schema, cue.Filename("schema.cue"))
 	value := context.CompileString(source, cue.Filename("configuration.cue"), cue.Scope(shapes))
-	if failure := value.Err(); failure != nil {
-		return Plan{}, declined(failure)
+	if err := value.Err(); err != nil {
+		return Plan{}, declined(err)
 	}
 	value = value.Unify(shapes.LookupPath(cue.ParsePath("#Configuration")))
-	if failure := value.Validate(cue.Concrete(true), cue.Final()); failure != nil {
-		return Plan{}, declined(failure)
+	if err := value.Validate(cue.Concrete(true), cue.Final()); err != nil {
+		return Plan{}, declined(err)
 	}
 	var plan Plan
-	if failure := value.Decode(&plan); failure != nil {
-		return Plan{}, declined(failure)
+	if err := value.Decode(&plan); err != nil {
+		return Plan{}, declined(err)
 	}
 	plan.fill()
 	return plan, plan.check()
@@ -180,7 +180,7 @@
 		if !yes {
 			continue
 		}
-		if name, _, failure := ast.LabelName(field.Label); failure != nil || name != names[0] {
+		if name, _, err := ast.LabelName(field.Label); err != nil || name != names[0] {
 			continue
 		}
 		if len(names) == 1 {
@@ -230,8 +230,8 @@
 	}
 }
 
-func declined(failure error) error {
-	lines := strings.TrimSpace(cueerrors.Details(failure, nil))
+func declined(err error) error {
+	lines := strings.TrimSpace(cueerrors.Details(err, nil))
 	return mishap.New(mishap.ConfigurationInvalid, "%s", lines)
 }
 
@@ -247,8 +247,8 @@
 				return mishap.New(mishap.ConfigurationInvalid, "%s.prefix: service %q has no prefix %q", place, template.Service, template.Prefix)
 			}
 			for kind, text := range map[rule.Kind]string{rule.Match: template.Match, rule.Repeat: template.RepeatWhen} {
-				if _, failure := rule.Read(kind, text); text != "" && failure != nil {
-					return mishap.Wrap(failure, mishap.ConfigurationInvalid, place)
+				if _, err := rule.Read(kind, text); text != "" && err != nil {
+					return mishap.Wrap(err, mishap.ConfigurationInvalid, place)
 				}
 			}
 			if template.StartMilliseconds > template.AbandonMilliseconds {
--- a/internal/configuration/routing.go
+++ b/internal/configuration/routing.go
@@ -68,12 +68,12 @@
 
 // Check finds what is wrong with a routing that replaces all that is in force.
 func (routing *Routing) Check() error {
-	if failure := routing.check(); failure != nil {
-		return failure
+	if err := routing.check(); err != nil {
+		return err
 	}
-	made, failure := routing.onto(View{})
-	if failure != nil {
-		return failure
+	made, err := routing.onto(View{})
+	if err != nil {
+		return err
 	}
 	return made.Book.Check()
 }
@@ -137,12 +137,12 @@
 
 // enactRouting puts routes in force if they build on the label that is.
 func (state *State) enactRouting(operation Operation) Outcome {
-	declined := func(failure error) Outcome {
-		return Outcome{Code: mishap.CodeOf(failure, mishap.ConfigurationInvalid), Sequence: state.Sequence, Text: mishap.Text(failure)}
+	declined := func(err error) Outcome {
+		return Outcome{Code: mishap.CodeOf(err, mishap.ConfigurationInvalid), Sequence: state.Sequence, Text: mishap.Text(err)}
 	}
 	routing := operation.Routing
-	if failure := routing.check(); failure != nil {
-		return declined(failure)
+	if err := routing.check(); err != nil {
+		return declined(err)
 	}
 	if state.HasAccepted(routing) {
 		return Outcome{Sequence: state.Sequence}
@@ -154,12 +154,12 @@
 	if operation.Kind == RoutesChange {
 		before = state.View()
 	}
-	made, failure := routing.onto(before)
-	if failure == nil {
-		failure = made.Book.Check()
+	made, err := routing.onto(before)
+	if err == nil {
+		err = made.Book.Check()
 	}
-	if failure != nil {
-		return declined(failure)
+	if err != nil {
+		return declined(err)
 	}
 	state.Label, state.Book, state.Items, state.Others = made.Label, made.Book, made.Items, made.Others
 	state.Accepted = state.Accepted.with(routing.Label, routing.Digest)
--- a/internal/configuration/routing_test.go
+++ b/internal/configuration/routing_test.go
@@ -26,8 +26,8 @@
 
 func applied(state *configuration.State, request configuration.Request) configuration.Outcome {
 	var outcome configuration.Outcome
-	if failure := gob.NewDecoder(bytes.NewReader(state.Apply(sent(request)))).Decode(&outcome); failure != nil {
-		panic(failure)
+	if err := gob.NewDecoder(bytes.NewReader(state.Apply(sent(request)))).Decode(&outcome); err != nil {
+		panic(err)
 	}
 	return outcome
 }
@@ -235,8 +235,8 @@
 		So(applied(state, evacuate).Code, ShouldEqual, mishap.UnknownHall)
 		applied(state, whole(1, 0, "a"))
 		view := state.View()
-		_, failure := view.Draft(evacuate)
-		So(failure, ShouldBeNil)
+		_, err := view.Draft(evacuate)
+		So(err, ShouldBeNil)
 		So(applied(state, evacuate).Code, ShouldEqual, mishap.Fine)
 		applied(state, whole(2, 1, "a"))
 		now := state.View()
@@ -250,11 +250,11 @@
 func TestRoutesAreDraftedWithoutWhatIsInForce(test *testing.T) {
 	Convey("only what is wrong by itself is declined", test, func() {
 		view := configuration.NewState().View()
-		_, failure := view.Draft(change(9, 7, "t", nil, "b"))
-		So(failure, ShouldBeNil)
-		_, failure = view.Draft(change(7, 7, "t", nil, "b"))
-		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.ConfigurationInvalid)
-		_, failure = view.Draft(configuration.Request{Kind: configuration.RoutesChange})
-		So(mishap.CodeOf(failure, 0), ShouldEqual, mishap.Malformed)
+		_, err := view.Draft(change(9, 7, "t", nil, "b"))
+		So(err, ShouldBeNil)
+		_, err = view.Draft(change(7, 7, "t", nil, "b"))
+		So(mishap.CodeOf(err, 0), ShouldEqual, mishap.ConfigurationInvalid)
+		_, err = view.Draft(configuration.Request{Kind: configuration.RoutesChange})
+		So(mishap.CodeOf(err, 0), ShouldEqual, mishap.Malformed)
 	})
 }
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -102,10 +102,10 @@
 	if !request.Commutes() && request.Expected != view.Sequence {
 		return operation, stale(request.Expected, view.Sequence)
 	}
-	var failure error
+	var err error
 	switch request.Kind {
 	case Whole:
-		operation.Plan, failure = Expand(request.Document, nil)
+		operation.Plan, err = Expand(request.Document, nil)
 	case Small:
 		merged := maps.Clone(view.Changes)
 		if merged == nil {
@@ -113,16 +113,16 @@
 		}
 		maps.Copy(merged, request.Changes)
 		operation.Changes = merged
-		operation.Plan, failure = Expand(view.Document, merged)
+		operation.Plan, err = Expand(view.Document, merged)
 	case Back:
 	case Evacuate, Return:
 		if !view.knows(request.Hall) {
-			failure = mishap.New(mishap.UnknownHall, "hall %q", request.Hall)
+			err = mishap.New(mishap.UnknownHall, "hall %q", request.Hall)
 		}
 	default:
-		failure = mishap.New(mishap.Malformed, "operation kind %q", request.Kind)
+		err = mishap.New(mishap.Malformed, "operation kind %q", request.Kind)
 	}
-	return operation, failure
+	return operation, err
 }
 
 func stale(expected, present uint64) error {
@@ -172,8 +172,8 @@
 // operation's key takes effect once; an order by routes is told from others by its label.
 func (state *State) Apply(data []byte) []byte {
 	var operation Operation
-	if failure := gob.NewDecoder(bytes.NewReader(data)).Decode(&operation); failure != nil {
-		return Encode(Outcome{Code: mishap.Garbage, Sequence: state.Sequence, Text: failure.Error()})
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&operation); err != nil {
+		return Encode(Outcome{Code: mishap.Garbage, Sequence: state.Sequence, Text: err.Error()})
 	}
 	outcome, known := state.Outcome(operation.Key)
 	if !known {
@@ -194,8 +194,8 @@
 		return Outcome{Code: mishap.UnknownHall, Sequence: state.Sequence, Text: operation.Hall}
 	}
 	if !operation.Commutes() && operation.Expected != state.Sequence {
-		failure := stale(operation.Expected, state.Sequence)
-		return Outcome{Code: mishap.SequenceStale, Sequence: state.Sequence, Text: mishap.Text(failure)}
+		err := stale(operation.Expected, state.Sequence)
+		return Outcome{Code: mishap.SequenceStale, Sequence: state.Sequence, Text: mishap.Text(err)}
 	}
 	if state.overtaken(operation) {
 		return state.declineOvertaken(operation)
@@ -266,8 +266,8 @@
 // Encode writes a value with gob.
 func Encode(value any) []byte {
 	var buffer bytes.Buffer
-	if failure := gob.NewEncoder(&buffer).Encode(value); failure != nil {
-		panic(failure)
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		panic(err)
 	}
 	return buffer.Bytes()
 }
