Name errors err and contexts ctx in internal/router

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The package and its tests compile.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -64,9 +64,9 @@
 	router.Received.Add(1)
 	now := router.clock.Now()
 	passing := &passage{Chart: relay.NewChart(), writer: writer, avoid: map[string]bool{}}
-	queue, failure := router.enrol(now, passing, request)
-	if failure != nil {
-		router.decline(passing, failure)
+	queue, err := router.enrol(now, passing, request)
+	if err != nil {
+		router.decline(passing, err)
 		return
 	}
 	router.running.Add(1)
@@ -84,23 +84,23 @@
 // enrol checks a request against what is in force. Nothing has left for an engine
 // before it is done, so every decline here is proved not run.
 func (router *Router) enrol(now schedule.Microseconds, passing *passage, request *http.Request) (interface{ Add(int64) int64 }, error) {
-	if failure := circuit.ReadJSON(passing.writer, request, largestBody, &passing.Ask); failure != nil {
-		return nil, failure
+	if err := circuit.ReadJSON(passing.writer, request, largestBody, &passing.Ask); err != nil {
+		return nil, err
 	}
 	if passing.Key == "" || len(passing.Key) > 128 {
 		return nil, mishap.New(mishap.KeyMissing, "%d characters", len(passing.Key))
 	}
-	if failure := router.takes(); failure != nil {
+	if err := router.takes(); err != nil {
 		router.Stale.Add(1)
-		return nil, failure
+		return nil, err
 	}
 	view := router.view.Load()
 	if view == nil {
 		return nil, mishap.New(mishap.UnknownTenant, "no configuration is in force")
 	}
-	template, failure := view.Plan.Template(passing.Tenant, passing.Kind)
-	if failure != nil {
-		return nil, failure
+	template, err := view.Plan.Template(passing.Tenant, passing.Kind)
+	if err != nil {
+		return nil, err
 	}
 	if passing.Tokens < 1 || passing.Tokens > template.MostTokens {
 		return nil, mishap.New(mishap.BadBudget, "tokens: %d is not between 1 and %d", passing.Tokens, template.MostTokens)
@@ -119,8 +119,8 @@
 	if queue.Load() >= int64(passing.service.Queue) {
 		return nil, mishap.New(mishap.QueueFull, "%d requests of service %s", queue.Load(), template.Service)
 	}
-	if failure := router.claim(now, passing); failure != nil {
-		return nil, failure
+	if err := router.claim(now, passing); err != nil {
+		return nil, err
 	}
 	percent, allowance := view.Plan.Tenants[passing.Tenant].Share()
 	repeats.Enrol(percent, float64(allowance)/float64(router.routers()))
@@ -141,7 +141,7 @@
 }
 
 // decline answers before anything was streamed, with what is proved and no more.
-func (router *Router) decline(passing *passage, failure error) {
+func (router *Router) decline(passing *passage, err error) {
 	if passing.State == relay.Received || passing.State == relay.Enrolled || passing.State == relay.Matched {
 		passing.State = relay.Declined
 	}
@@ -158,14 +158,14 @@
 	default:
 		router.Unknown.Add(1)
 	}
-	circuit.WriteDecline(passing.writer, failure, string(ending), router.retry(passing, mishap.CodeOf(failure, mishap.EndingUnknown)))
+	circuit.WriteDecline(passing.writer, err, string(ending), router.retry(passing, mishap.CodeOf(err, mishap.EndingUnknown)))
 }
 
 // end closes a request honestly: a whole answer, an answer that breaks off
 // visibly, or a numbered decline.
-func (router *Router) end(passing *passage, failure error) {
+func (router *Router) end(passing *passage, err error) {
 	switch {
-	case failure == nil:
+	case err == nil:
 		router.settle(passing, relay.Run)
 		router.Finished.Add(1)
 	case passing.frames > 0:
@@ -174,7 +174,7 @@
 		router.Cut.Add(1)
 		panic(http.ErrAbortHandler)
 	default:
-		router.decline(passing, failure)
+		router.decline(passing, err)
 	}
 }
 
@@ -188,8 +188,8 @@
 	if owner == "" {
 		return core.Ruling{}
 	}
-	ruling, failure := circuit.Call[core.Trouble, core.Ruling](parent, router.inner, owner, core.MishapPath, 200*schedule.Millisecond, &trouble)
-	if failure != nil {
+	ruling, err := circuit.Call[core.Trouble, core.Ruling](parent, router.inner, owner, core.MishapPath, 200*schedule.Millisecond, &trouble)
+	if err != nil {
 		return core.Ruling{}
 	}
 	return *ruling
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -223,8 +223,8 @@
 // is unknown. An ending of not run is not passed on: another may be running by now.
 func (router *Router) became(bounded context.Context, holder claim.Claim) relay.Ending {
 	if circuit.CheckAddress(holder.Address) == nil {
-		answer, failure := circuit.Call[KeyQuestion, KeyAnswer](bounded, router.inner, holder.Address, keyPath, keyBudget, &KeyQuestion{Key: holder.Key})
-		if failure == nil && answer.Ending == relay.Run {
+		answer, err := circuit.Call[KeyQuestion, KeyAnswer](bounded, router.inner, holder.Address, keyPath, keyBudget, &KeyQuestion{Key: holder.Key})
+		if err == nil && answer.Ending == relay.Run {
 			return relay.Run
 		}
 	}
@@ -263,7 +263,7 @@
 				Key: key.Name, By: claim.Name{Life: router.claimant, Number: key.Number}, Address: router.Machine.Inner, Age: now - key.At,
 			})
 		}
-		if _, failure := circuit.Call[core.ClaimsQuestion, core.ClaimsAnswer](parent, router.inner, address, core.ClaimsPath, schedule.Second, question); failure == nil {
+		if _, err := circuit.Call[core.ClaimsQuestion, core.ClaimsAnswer](parent, router.inner, address, core.ClaimsPath, schedule.Second, question); err == nil {
 			router.clerks.lock.Lock()
 			router.clerks.told[at] = head.Claims
 			router.clerks.lock.Unlock()
--- a/internal/router/clerk.go
+++ b/internal/router/clerk.go
@@ -73,28 +73,28 @@
 	}
 }
 
-func (clerk *clerk) run(context context.Context) {
+func (clerk *clerk) run(ctx context.Context) {
 	for {
 		select {
-		case <-context.Done():
+		case <-ctx.Done():
 			return
 		case first := <-clerk.queue:
 			errands := []errand{first}
 			for more := min(len(clerk.queue), mostSteps-1); more > 0; more-- {
 				errands = append(errands, <-clerk.queue)
 			}
-			clerk.carry(context, errands)
+			clerk.carry(ctx, errands)
 		}
 	}
 }
 
-func (clerk *clerk) carry(context context.Context, errands []errand) {
+func (clerk *clerk) carry(ctx context.Context, errands []errand) {
 	question := &core.ClaimsQuestion{Part: clerk.part}
 	for _, each := range errands {
 		question.Steps = append(question.Steps, each.ClaimStep)
 	}
-	answer, failure := circuit.Call[core.ClaimsQuestion, core.ClaimsAnswer](context, clerk.router.inner, clerk.address, core.ClaimsPath, claim.Budget, question)
-	heard := failure == nil && answer.Slot >= 0 && len(answer.Verdicts) == len(errands) && len(answer.Holders) == len(errands)
+	answer, err := circuit.Call[core.ClaimsQuestion, core.ClaimsAnswer](ctx, clerk.router.inner, clerk.address, core.ClaimsPath, claim.Budget, question)
+	heard := err == nil && answer.Slot >= 0 && len(answer.Verdicts) == len(errands) && len(answer.Holders) == len(errands)
 	clerk.lock.Lock()
 	clerk.failed = 0
 	if !heard {
--- a/internal/router/gate.go
+++ b/internal/router/gate.go
@@ -126,12 +126,12 @@
 
 // watch reads the heads from all cores, again and again, and fetches at once what
 // is behind.
-func (router *Router) watch(context context.Context) {
+func (router *Router) watch(ctx context.Context) {
 	fresh, turn := false, 0
 	step := func() {
 		turn++
 		router.drain()
-		go router.read(context, turn%3 == 1)
+		go router.read(ctx, turn%3 == 1)
 		if now := router.Fresh(); now != fresh {
 			fresh = now
 			log.Info().Str("router", router.Machine.Name).Bool("ready", fresh).Msg("gate")
@@ -139,9 +139,9 @@
 	}
 	step()
 	if router.Gate == gateOpen {
-		router.hasten(context)
+		router.hasten(ctx)
 	}
-	schedule.Every(context, readEvery, step)
+	schedule.Every(ctx, readEvery, step)
 }
 
 // After so many hasty reads, only each second turn is taken.
@@ -220,8 +220,8 @@
 	for range cores {
 		address := cores[int(router.turn.Add(1))%len(cores)]
 		asked := router.clock.Now()
-		answer, failure := circuit.Call[core.HeadsQuestion, core.HeadsAnswer](parent, router.inner, address, core.HeadsPath, oneBudget, question)
-		if failure == nil {
+		answer, err := circuit.Call[core.HeadsQuestion, core.HeadsAnswer](parent, router.inner, address, core.HeadsPath, oneBudget, question)
+		if err == nil {
 			if len(answer.Parts) > 0 {
 				router.first.Hear(asked, answer.Parts[0])
 			}
@@ -259,7 +259,7 @@
 
 // mend fetches from a core what it has and this router lacks, and gives a core
 // that lost its disk what this router still has.
-func (router *Router) mend(context context.Context, seed string, answer *core.HeadsAnswer) {
+func (router *Router) mend(ctx context.Context, seed string, answer *core.HeadsAnswer) {
 	var copies core.Copies
 	behind := false
 	for _, head := range answer.Parts {
@@ -273,10 +273,10 @@
 	}
 	if len(copies.Items) > 0 {
 		router.Copies.Add(int64(len(copies.Items)))
-		_, _ = circuit.Call[core.Copies, core.Thanks](context, router.inner, seed, core.CopyPath, 2*schedule.Second, &copies)
+		_, _ = circuit.Call[core.Copies, core.Thanks](ctx, router.inner, seed, core.CopyPath, 2*schedule.Second, &copies)
 	}
 	if behind && router.mending.TryLock() {
 		defer router.mending.Unlock()
-		router.gossip.Mend(context, seed)
+		router.gossip.Mend(ctx, seed)
 	}
 }
--- a/internal/router/pass.go
+++ b/internal/router/pass.go
@@ -29,44 +29,44 @@
 // tells the caller what is proved.
 func (router *Router) pass(bounded context.Context, passing *passage) error {
 	for {
-		if failure := passing.Move(relay.Matched); failure != nil {
-			return failure
+		if err := passing.Move(relay.Matched); err != nil {
+			return err
 		}
 		// Each try is a run of its own: what is cancelled under the name of an earlier
 		// one stays cancelled.
 		passing.run = rand.Text()
 		var reader, writer *catalogue.Pick
-		failure := router.find(bounded, passing, "serve", func(now schedule.Microseconds, want catalogue.Want) (found, fit bool) {
+		err := router.find(bounded, passing, "serve", func(now schedule.Microseconds, want catalogue.Want) (found, fit bool) {
 			want.Prefix = passing.template.Prefix
 			reader, writer, fit = passing.table.ChoosePair(now, want)
 			return reader != nil, fit
 		})
-		if failure != nil {
-			return failure
+		if err != nil {
+			return err
 		}
-		if failure := router.awaitPledge(bounded, passing); failure != nil {
+		if err := router.awaitPledge(bounded, passing); err != nil {
 			reader.Done(catalogue.Experience{Now: router.clock.Now()})
 			writer.Done(catalogue.Experience{Now: router.clock.Now()})
-			return failure
+			return err
 		}
-		ticket, failure := router.prefill(bounded, passing, reader)
-		if failure == nil {
-			failure = router.decode(bounded, passing, reader, writer, ticket)
+		ticket, err := router.prefill(bounded, passing, reader)
+		if err == nil {
+			err = router.decode(bounded, passing, reader, writer, ticket)
 		} else {
 			writer.Done(catalogue.Experience{Now: router.clock.Now()})
 		}
-		if failure == nil || passing.frames > 0 {
-			return failure
+		if err == nil || passing.frames > 0 {
+			return err
 		}
 		if bounded.Err() != nil || !router.mayRepeat(passing) {
-			return failure
+			return err
 		}
 		if !passing.repeats.Take() {
-			return mishap.Wrap(failure, mishap.RepeatsSpent, "no second try")
+			return mishap.Wrap(err, mishap.RepeatsSpent, "no second try")
 		}
 		router.Repeats.Add(1)
-		if failure := passing.Move(relay.Enrolled); failure != nil {
-			return failure
+		if err := passing.Move(relay.Enrolled); err != nil {
+			return err
 		}
 	}
 }
@@ -105,18 +105,18 @@
 // post sends one try to an engine. It is never sent twice by the library, since
 // its body can't be read again.
 func (router *Router) post(bounded context.Context, address, path string, body any) (*http.Response, error) {
-	text, failure := json.Marshal(body)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.Malformed, path)
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Malformed, path)
 	}
-	request, failure := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+address+path, io.NopCloser(bytes.NewReader(text)))
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.Malformed, path)
+	request, err := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+address+path, io.NopCloser(bytes.NewReader(text)))
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Malformed, path)
 	}
 	request.ContentLength = int64(len(text))
 	request.Header.Set("Content-Type", "application/json")
-	answer, failure := router.client.Do(request)
-	return answer, mishap.Wrap(failure, mishap.CircuitLost, address)
+	answer, err := router.client.Do(request)
+	return answer, mishap.Wrap(err, mishap.CircuitLost, address)
 }
 
 func declinedBy(answer *http.Response) mishap.Code {
@@ -135,13 +135,13 @@
 	_ = passing.Move(relay.Prefilling)
 	passing.Leave()
 	passing.Tries++
-	answer, failure := router.post(bounded, pick.Address, engine.PrefillPath, engine.PrefillAsk{
+	answer, err := router.post(bounded, pick.Address, engine.PrefillPath, engine.PrefillAsk{
 		Run: passing.run, Key: passing.claim(), Service: passing.template.Service, Version: pick.Version, Prefix: passing.template.Prefix,
 		PrefixTokens: passing.service.Prefixes[passing.template.Prefix].Tokens, Prompt: passing.Prompt, Budget: passing.abandon - router.clock.Now(),
 	})
-	if failure != nil {
+	if err != nil {
 		experience.Mishap = parent.Err() == nil
-		return engine.Ticket{}, router.lost(parent, passing, pick, contract.Prefill, failure)
+		return engine.Ticket{}, router.lost(parent, passing, pick, contract.Prefill, err)
 	}
 	defer answer.Body.Close()
 	experience.Running = running(answer)
@@ -159,7 +159,7 @@
 }
 
 // lost ends a try whose outcome is not known, or asks the leader about it.
-func (router *Router) lost(bounded context.Context, passing *passage, pick *catalogue.Pick, stage string, failure error) error {
+func (router *Router) lost(bounded context.Context, passing *passage, pick *catalogue.Pick, stage string, err error) error {
 	passing.avoid[pick.Name] = true
 	passing.retry = false
 	router.cancel(passing.run, pick.Address)
@@ -167,27 +167,27 @@
 		passing.retry = router.troubled(bounded, passing, pick.Name, stage, false).Retry
 	}
 	_ = passing.Move(relay.Unknown)
-	return mishap.Wrap(failure, mishap.EndingUnknown, stage+" at "+pick.Name)
+	return mishap.Wrap(err, mishap.EndingUnknown, stage+" at "+pick.Name)
 }
 
 // turned ends a try that an engine answered with a code.
 func (router *Router) turned(bounded context.Context, passing *passage, pick *catalogue.Pick, stage string, code mishap.Code) error {
 	passing.avoid[pick.Name] = true
-	failure := mishap.New(code, "%s at %s", stage, pick.Name)
+	err := mishap.New(code, "%s at %s", stage, pick.Name)
 	if !code.Unstarted() {
 		if code != mishap.Cancelled {
 			passing.retry = router.troubled(bounded, passing, pick.Name, stage, false).Retry
 		}
 		_ = passing.Move(relay.Failed)
-		return mishap.Wrap(failure, mishap.RunFailed, "the engine's answer")
+		return mishap.Wrap(err, mishap.RunFailed, "the engine's answer")
 	}
 	if stage == contract.Prefill {
 		passing.Prove()
 		_ = passing.Move(relay.Matched)
-		return mishap.Wrap(failure, mishap.NoEngine, "the engine's answer")
+		return mishap.Wrap(err, mishap.NoEngine, "the engine's answer")
 	}
 	_ = passing.Move(relay.HandedOver)
-	return failure
+	return err
 }
 
 // cancel ends abandoned work by its name, apart from the caller's own context.
@@ -196,7 +196,7 @@
 		go func() {
 			bounded, stop := context.WithTimeout(context.Background(), time.Second)
 			defer stop()
-			if answer, failure := router.post(bounded, address, engine.CancelPath, engine.CancelAsk{Run: run}); failure == nil {
+			if answer, err := router.post(bounded, address, engine.CancelPath, engine.CancelAsk{Run: run}); err == nil {
 				answer.Body.Close()
 			}
 		}()
@@ -207,11 +207,11 @@
 // not start lets another one have the same ticket.
 func (router *Router) decode(bounded context.Context, passing *passage, reader, writer *catalogue.Pick, ticket engine.Ticket) error {
 	for tries := 1; ; tries++ {
-		failure := router.make(bounded, passing, reader, writer, ticket)
-		if failure == nil || passing.State != relay.HandedOver {
-			return failure
+		err := router.make(bounded, passing, reader, writer, ticket)
+		if err == nil || passing.State != relay.HandedOver {
+			return err
 		}
-		code := mishap.CodeOf(failure, mishap.EndingUnknown)
+		code := mishap.CodeOf(err, mishap.EndingUnknown)
 		if code == mishap.TicketVoid || tries >= mostTries || !passing.repeats.Take() {
 			// A busy token maker is no mishap, and prompt memory that lapsed no reason to
 			// suspect its reader.
@@ -220,18 +220,18 @@
 			}
 			router.cancel(passing.run, reader.Address)
 			_ = passing.Move(relay.Failed)
-			return mishap.Wrap(failure, mishap.RunFailed, "decode")
+			return mishap.Wrap(err, mishap.RunFailed, "decode")
 		}
 		router.Repeats.Add(1)
-		failure = router.find(bounded, passing, "make tokens", func(now schedule.Microseconds, want catalogue.Want) (found, fit bool) {
+		err = router.find(bounded, passing, "make tokens", func(now schedule.Microseconds, want catalogue.Want) (found, fit bool) {
 			want.Part, want.Reader = contract.Decode, reader.Name
 			writer, fit = passing.table.Choose(now, want)
 			return writer != nil, fit
 		})
-		if failure != nil {
+		if err != nil {
 			router.cancel(passing.run, reader.Address)
 			_ = passing.Move(relay.Failed)
-			return mishap.Wrap(failure, mishap.RunFailed, "prompt read, but no engine made tokens")
+			return mishap.Wrap(err, mishap.RunFailed, "prompt read, but no engine made tokens")
 		}
 	}
 }
@@ -242,14 +242,14 @@
 	experience := catalogue.Experience{}
 	defer func() { experience.Now = router.clock.Now(); pick.Done(experience) }()
 	_ = passing.Move(relay.Decoding)
-	answer, failure := router.post(bounded, pick.Address, engine.DecodePath, engine.DecodeAsk{
+	answer, err := router.post(bounded, pick.Address, engine.DecodePath, engine.DecodeAsk{
 		Ticket: ticket, Key: passing.claim(), Service: passing.template.Service, Source: reader.Address,
 		Tokens: passing.Tokens, Budget: passing.abandon - router.clock.Now(),
 	})
-	if failure != nil {
+	if err != nil {
 		experience.Mishap = parent.Err() == nil
 		router.cancel(passing.run, reader.Address)
-		return router.lost(parent, passing, pick, contract.Decode, failure)
+		return router.lost(parent, passing, pick, contract.Decode, err)
 	}
 	defer answer.Body.Close()
 	experience.Running = running(answer)
@@ -258,17 +258,17 @@
 		experience.Full, experience.Cold = code.Unstarted() && code != mishap.TicketVoid, code == mishap.EngineCold
 		return router.turned(parent, passing, pick, contract.Decode, code)
 	}
-	failure = router.stream(passing, answer.Body, ticket, bounded.shown)
-	if failure == nil {
+	err = router.stream(passing, answer.Body, ticket, bounded.shown)
+	if err == nil {
 		return passing.Move(relay.Finished)
 	}
 	if passing.frames == 0 {
 		experience.Mishap = parent.Err() == nil
-		return router.lost(parent, passing, pick, contract.Decode, failure)
+		return router.lost(parent, passing, pick, contract.Decode, err)
 	}
 	router.cancel(passing.run, pick.Address)
 	go router.troubled(context.WithoutCancel(parent), passing, pick.Name, contract.Decode, false)
-	return failure
+	return err
 }
 
 // stream relays frames of one run, in order, once the ticket was echoed; the final
@@ -277,13 +277,13 @@
 	lines := bufio.NewReaderSize(body, 4096)
 	echoed := false
 	for {
-		line, failure := lines.ReadBytes('\n')
-		if failure != nil {
-			return mishap.Wrap(failure, mishap.StreamCut, "decode stream")
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return mishap.Wrap(err, mishap.StreamCut, "decode stream")
 		}
 		var frame engine.Frame
-		if failure := json.Unmarshal(line, &frame); failure != nil {
-			return mishap.Wrap(failure, mishap.StreamCut, "decode frame")
+		if err := json.Unmarshal(line, &frame); err != nil {
+			return mishap.Wrap(err, mishap.StreamCut, "decode frame")
 		}
 		switch {
 		case frame.Run != passing.run || frame.Code != 0:
@@ -301,13 +301,13 @@
 		case frame.Number != passing.frames+1:
 			return mishap.New(mishap.StreamCut, "frame %d after %d", frame.Number, passing.frames)
 		default:
-			if failure := passing.begin(); failure != nil {
-				return failure
+			if err := passing.begin(); err != nil {
+				return err
 			}
 			passing.frames++
 			shown()
-			if failure := passing.send(Frame{Run: passing.run, Number: frame.Number, Text: frame.Text}); failure != nil {
-				return failure
+			if err := passing.send(Frame{Run: passing.run, Number: frame.Number, Text: frame.Text}); err != nil {
+				return err
 			}
 		}
 	}
@@ -323,8 +323,8 @@
 }
 
 func (passing *passage) send(frame Frame) error {
-	if failure := passing.stream.Encode(frame); failure != nil {
-		return mishap.Wrap(failure, mishap.Abandoned, "the caller's circuit")
+	if err := passing.stream.Encode(frame); err != nil {
+		return mishap.Wrap(err, mishap.Abandoned, "the caller's circuit")
 	}
 	return mishap.Wrap(passing.flush.Flush(), mishap.Abandoned, "the caller's circuit")
 }
--- a/internal/router/public.go
+++ b/internal/router/public.go
@@ -47,8 +47,8 @@
 	routes := http.NewServeMux()
 	routes.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) { circuit.WriteJSON(writer, 200, "live") })
 	routes.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
-		if failure := router.invites(); failure != nil {
-			circuit.WriteDecline(writer, failure, "", router.retry(nil, mishap.CodeOf(failure, mishap.RouterStale)))
+		if err := router.invites(); err != nil {
+			circuit.WriteDecline(writer, err, "", router.retry(nil, mishap.CodeOf(err, mishap.RouterStale)))
 			return
 		}
 		circuit.WriteJSON(writer, 200, "ready")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,8 +40,8 @@
 
 // Check declines settings that can't work.
 func (settings Settings) Check() error {
-	if failure := settings.Place.Check(); failure != nil {
-		return failure
+	if err := settings.Place.Check(); err != nil {
+		return err
 	}
 	if settings.Fresh < 600 || settings.Fresh > 1900 {
 		return mishapSetting("--fresh-ms: %d is not between 600 and 1900", settings.Fresh)
@@ -133,8 +133,8 @@
 
 // New makes a router from checked settings.
 func New(settings Settings, incarnation uint64, network circuit.Network) (*Router, error) {
-	if failure := settings.Check(); failure != nil {
-		return nil, failure
+	if err := settings.Check(); err != nil {
+		return nil, err
 	}
 	router := &Router{
 		Settings: settings,
@@ -256,8 +256,8 @@
 	go router.watch(serving)
 	log.Info().Str("router", router.Machine.Name).Msg("router runs")
 	select {
-	case failure := <-ended:
-		return failure
+	case err := <-ended:
+		return err
 	case <-parent.Done():
 	}
 	router.stopped.Store(true)
