--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -93,8 +93,8 @@
 	told.text.Write(data)
 	return nil
 }
-func (told *told) Decline(failure error, retry schedule.Microseconds) {
-	told.code, told.retry = mishap.CodeOf(failure, 0), retry
+func (told *told) Decline(err error, retry schedule.Microseconds) {
+	told.code, told.retry = mishap.CodeOf(err, 0), retry
 }
 
 func made(driver port.Driver, tries int, resume bool, parts ...string) *carrier.Carrier {
--- a/internal/carrier/model_test.go
+++ b/internal/carrier/model_test.go
@@ -155,9 +155,9 @@
 
 // Read has an engine read a prompt and keep its memory.
 func (driver *modelDriver) Read(bounded context.Context, try port.Try) (port.Ticket, port.Outcome, error) {
-	engine, outcome, failure := driver.arrive(bounded, try)
+	engine, outcome, err := driver.arrive(bounded, try)
 	if outcome != port.Answered {
-		return port.Ticket{}, outcome, failure
+		return port.Ticket{}, outcome, err
 	}
 	if !engine.read(bounded, try.Prompt, 1) || !rest(bounded, distance(driver.hall, engine.Hall)) {
 		return port.Ticket{}, port.Unknown, bounded.Err()
@@ -216,9 +216,9 @@
 
 // Run has an engine make an answer.
 func (driver *modelDriver) Run(bounded context.Context, try port.Try) (port.Answer, port.Outcome, error) {
-	engine, outcome, failure := driver.arrive(bounded, try)
+	engine, outcome, err := driver.arrive(bounded, try)
 	if outcome != port.Answered {
-		return port.Answer{}, outcome, failure
+		return port.Answer{}, outcome, err
 	}
 	engine.lock.Lock()
 	if engine.running >= engine.Slots {
--- a/internal/carrier/pass.go
+++ b/internal/carrier/pass.go
@@ -66,13 +66,13 @@
 func (way *way) copy(bounded context.Context, writer port.Engine, body io.Reader) verdict {
 	buffer := make([]byte, pieceLength)
 	for {
-		count, failure := body.Read(buffer)
+		count, err := body.Read(buffer)
 		if count > 0 && way.caller.Write(buffer[:count]) != nil {
 			return over
 		}
 		switch {
-		case failure == nil:
-		case errors.Is(failure, io.EOF):
+		case err == nil:
+		case errors.Is(err, io.EOF):
 			return whole
 		default:
 			way.cut(bounded, writer)
@@ -100,7 +100,7 @@
 	held := make([]byte, 0, pieceLength)
 	buffer := make([]byte, pieceLength)
 	for {
-		count, failure := body.Read(buffer)
+		count, err := body.Read(buffer)
 		if count > 0 {
 			watch.alive(patience)
 			way.pool.Alive(way.now(), writer.Life)
@@ -121,15 +121,15 @@
 				way.last = name
 			}
 			held = append(held[:0], held[last+len(ends):]...)
-			if failure == nil && way.last != "" && way.due(writer) {
+			if err == nil && way.last != "" && way.due(writer) {
 				if result, moved := way.move(bounded, writer, leave); moved {
 					return result
 				}
 			}
 		}
 		switch {
-		case failure == nil:
-		case errors.Is(failure, io.EOF):
+		case err == nil:
+		case errors.Is(err, io.EOF):
 			if len(held) > 0 && way.caller.Write(held) != nil {
 				return over
 			}
--- a/internal/carrier/window_test.go
+++ b/internal/carrier/window_test.go
@@ -205,8 +205,8 @@
 	return nil
 }
 
-func (caller *caller) Decline(failure error, retry schedule.Microseconds) {
-	caller.retry, caller.unknown, caller.failure = retry, retry == 0, mishap.Text(failure)
+func (caller *caller) Decline(err error, retry schedule.Microseconds) {
+	caller.retry, caller.unknown, caller.failure = retry, retry == 0, mishap.Text(err)
 }
 
 // load sends all kinds for a while.
