Name errors err and contexts ctx in internal/simulation

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The package and its tests compile.

--- a/internal/simulation/fabric.go
+++ b/internal/simulation/fabric.go
@@ -99,15 +99,15 @@
 
 // Dial opens a circuit; across a cut it hangs until its context ends.
 func (port Port) Dial(parent context.Context, address string, _ schedule.Microseconds) (net.Conn, error) {
-	context, cancel := context.WithTimeout(parent, time.Second)
+	ctx, cancel := context.WithTimeout(parent, time.Second)
 	defer cancel()
 	port.lock.Lock()
 	listener, known := port.listeners[address]
 	broken := known && port.cut[[2]string{port.Machine, listener.machine}]
 	port.lock.Unlock()
 	if broken {
-		<-context.Done()
-		return nil, mishap.Wrap(context.Err(), mishap.CircuitLost, address)
+		<-ctx.Done()
+		return nil, mishap.Wrap(ctx.Err(), mishap.CircuitLost, address)
 	}
 	if !known {
 		return nil, mishap.Wrap(syscall.ECONNREFUSED, mishap.CircuitLost, address)
@@ -124,8 +124,8 @@
 		return here, nil
 	case <-listener.closed:
 		return nil, mishap.New(mishap.CircuitLost, "%s", address)
-	case <-context.Done():
-		return nil, mishap.Wrap(context.Err(), mishap.CircuitLost, address)
+	case <-ctx.Done():
+		return nil, mishap.Wrap(ctx.Err(), mishap.CircuitLost, address)
 	}
 }
 
--- a/internal/simulation/soak_faults_test.go
+++ b/internal/simulation/soak_faults_test.go
@@ -82,17 +82,17 @@
 func (soak *soak) crowdOf(long, short float64) {
 	seed := soak.chance.Uint64()
 	soak.rush.Go(func() {
-		run, failure := load.New(load.Settings{
+		run, err := load.New(load.Settings{
 			Cores: soak.corePub, Routers: soak.routPub, Tenant: soak.tenant, Long: soak.long, Short: soak.short,
 			LongRate: 3 * long, ShortRate: 3 * short, Seconds: 2, Seed: seed,
 		}, simulation.Port{Fabric: soak.Fabric, Machine: "crowd"})
-		if failure != nil {
-			soak.Error(failure)
+		if err != nil {
+			soak.Error(err)
 			return
 		}
-		figures, failure := run.Drive(soak.Context())
-		if failure != nil {
-			soak.note("crowd: %v", failure)
+		figures, err := run.Drive(soak.Context())
+		if err != nil {
+			soak.note("crowd: %v", err)
 			return
 		}
 		for _, violation := range figures.Violations {
@@ -225,8 +225,8 @@
 func (soak *soak) tear() {
 	name := soak.any("core")
 	soak.down(name)
-	file, failure := os.OpenFile(filepath.Join(soak.folder, name, "journal"), os.O_APPEND|os.O_WRONLY, 0)
-	if failure != nil {
+	file, err := os.OpenFile(filepath.Join(soak.folder, name, "journal"), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
 		return
 	}
 	defer file.Close()
--- a/internal/simulation/soak_fleet_test.go
+++ b/internal/simulation/soak_fleet_test.go
@@ -67,13 +67,13 @@
 		for seed := *firstSeed; seed < *firstSeed+*soakSeeds; seed++ {
 			test.Run(fmt.Sprintf("%s-%d", name, seed), func(test *testing.T) {
 				marked := filepath.Join(test.TempDir(), "marked.cue")
-				text, failure := os.ReadFile(deployment.document)
-				if failure != nil {
-					test.Fatal(failure)
+				text, err := os.ReadFile(deployment.document)
+				if err != nil {
+					test.Fatal(err)
 				}
 				document := strings.Replace(string(text), "parameters: {", "parameters: {\n\tmark: int | *0", 1)
-				if failure := os.WriteFile(marked, []byte(document), 0o644); failure != nil {
-					test.Fatal(failure)
+				if err := os.WriteFile(marked, []byte(document), 0o644); err != nil {
+					test.Fatal(err)
 				}
 				deployment.document = marked
 				playFor(test, deployment, 200, func(stage *stage) {
@@ -128,13 +128,13 @@
 
 // drive is the callers' load over the whole run.
 func (soak *soak) drive(seed uint64) *load.Figures {
-	run, failure := load.New(load.Settings{
+	run, err := load.New(load.Settings{
 		Cores: soak.corePub, Routers: soak.routPub, Tenant: soak.tenant, Long: soak.long, Short: soak.short,
 		LongRate: soak.longRate, ShortRate: soak.shortRate, Seconds: int((soakFails + soakAfter) / time.Second), Seed: seed,
 		Doubled: *doubled, Again: 5 * *doubled,
 	}, simulation.Port{Fabric: soak.Fabric, Machine: "caller"})
-	if failure != nil {
-		soak.Fatal(failure)
+	if err != nil {
+		soak.Fatal(err)
 	}
 	origin := time.Now().Add(-time.Second)
 	run.Watch = func(told load.Told) {
@@ -144,9 +144,9 @@
 		told.At += schedule.Microseconds(origin.UnixMicro())
 		soak.told = append(soak.told, told)
 	}
-	figures, failure := run.Drive(context.Background())
-	if failure != nil {
-		soak.Fatal(failure)
+	figures, err := run.Drive(context.Background())
+	if err != nil {
+		soak.Fatal(err)
 	}
 	for kind := range figures.Start {
 		delete(figures.Start, kind)
--- a/internal/simulation/soak_watch_test.go
+++ b/internal/simulation/soak_watch_test.go
@@ -78,8 +78,8 @@
 	watch.guard.Unlock()
 	for turn := first; turn < first+6; turn++ {
 		done.code = mishap.OutcomeUnknown
-		answer, failure := watch.client.Post("http://"+watch.corePub[turn%3]+"/v1/operations", "application/json", bytes.NewReader(body))
-		if failure != nil {
+		answer, err := watch.client.Post("http://"+watch.corePub[turn%3]+"/v1/operations", "application/json", bytes.NewReader(body))
+		if err != nil {
 			break
 		}
 		var told circuit.Decline
@@ -104,8 +104,8 @@
 }
 
 func (watch *watch) fetch(address, path string, into any) bool {
-	answer, failure := watch.client.Get("http://" + address + path)
-	if failure != nil {
+	answer, err := watch.client.Get("http://" + address + path)
+	if err != nil {
 		return false
 	}
 	defer answer.Body.Close()
@@ -132,15 +132,15 @@
 	}
 }
 
-func (watch *watch) operateSmall(context context.Context) {
-	for context.Err() == nil {
+func (watch *watch) operateSmall(ctx context.Context) {
+	for ctx.Err() == nil {
 		watch.small()
 		time.Sleep(700 * time.Millisecond)
 	}
 }
 
-func (watch *watch) operateWhole(context context.Context) {
-	for number := 1; context.Err() == nil; number++ {
+func (watch *watch) operateWhole(ctx context.Context) {
+	for number := 1; ctx.Err() == nil; number++ {
 		if shown, known := watch.shown(); known {
 			document := fmt.Sprintf("%s\n// whole %d\n", watch.document, number)
 			watch.operate(configuration.Request{Kind: configuration.Whole, Expected: shown.Sequence, Document: document})
@@ -150,8 +150,8 @@
 }
 
 // operateHalls evacuates a hall and lets it back, again and again.
-func (watch *watch) operateHalls(context context.Context) {
-	for turn := 0; context.Err() == nil; turn++ {
+func (watch *watch) operateHalls(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; turn++ {
 		name := watch.halls[turn%3]
 		done := watch.operate(configuration.Request{Kind: configuration.Evacuate, Whichever: true, Hall: name})
 		if done.code == mishap.SequenceStale {
@@ -179,8 +179,8 @@
 
 // leave lists an engine as leaving; three seconds later it must get nothing new.
 func (watch *watch) leave(name string) bool {
-	answer, failure := watch.client.Post("http://"+watch.corePub[0]+"/v1/services/"+watch.service+"/engines/"+name+"/leave", "application/json", nil)
-	if failure != nil {
+	answer, err := watch.client.Post("http://"+watch.corePub[0]+"/v1/services/"+watch.service+"/engines/"+name+"/leave", "application/json", nil)
+	if err != nil {
 		return false
 	}
 	answer.Body.Close()
@@ -205,11 +205,11 @@
 }
 
 // look asks each router, as the platform does, whether it is ready and what it works by.
-func (watch *watch) look(context context.Context) {
+func (watch *watch) look(ctx context.Context) {
 	var group sync.WaitGroup
 	for number, address := range watch.routPub {
 		group.Go(func() {
-			for context.Err() == nil {
+			for ctx.Err() == nil {
 				asked := time.Now()
 				var overview router.Overview
 				if watch.fetch(address, "/v1/status", &overview) {
--- a/internal/simulation/stage_disk_test.go
+++ b/internal/simulation/stage_disk_test.go
@@ -69,12 +69,12 @@
 			name := []string{"core-0", "core-1", "core-2"}[length%3]
 			stage.kill(name)
 			path := filepath.Join(stage.folder, name, "journal")
-			text, failure := os.ReadFile(path)
-			if failure != nil {
-				test.Fatal(failure)
+			text, err := os.ReadFile(path)
+			if err != nil {
+				test.Fatal(err)
 			}
-			if failure := os.WriteFile(path, append(text, []byte{90, 0, 0, 0, 1, 2, 3, 4, 5, 6}[:length+1]...), 0o644); failure != nil {
-				test.Fatal(failure)
+			if err := os.WriteFile(path, append(text, []byte{90, 0, 0, 0, 1, 2, 3, 4, 5, 6}[:length+1]...), 0o644); err != nil {
+				test.Fatal(err)
 			}
 			stage.wake(name)
 			time.Sleep(3 * time.Second)
@@ -83,8 +83,8 @@
 			}
 		}
 		var shown struct{ Sequence uint64 }
-		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 1 {
-			test.Errorf("sequence %d is in force, not 1 (%v)", shown.Sequence, failure)
+		if err := stage.change().Get("/v1/configuration", &shown); err != nil || shown.Sequence != 1 {
+			test.Errorf("sequence %d is in force, not 1 (%v)", shown.Sequence, err)
 		}
 	})
 }
@@ -98,25 +98,25 @@
 			stage.acknowledges()
 			stage.kill(name)
 			path := filepath.Join(stage.folder, name, "journal")
-			content, failure := os.ReadFile(path)
-			if failure != nil || len(content) < 100 {
-				test.Fatal(failure, len(content))
+			content, err := os.ReadFile(path)
+			if err != nil || len(content) < 100 {
+				test.Fatal(err, len(content))
 			}
 			content[20] ^= 1
-			if failure := os.WriteFile(path, content, 0o644); failure != nil {
-				test.Fatal(failure)
+			if err := os.WriteFile(path, content, 0o644); err != nil {
+				test.Fatal(err)
 			}
 			stage.wake(name)
 			stage.votesAgain(name, 10*time.Second)
 			stage.stayUp()
-			aside, failure := os.ReadFile(path + ".damaged")
-			if failure != nil || !bytes.Equal(aside, content) {
-				test.Errorf("the damaged file of %s was not set aside: %v", name, failure)
+			aside, err := os.ReadFile(path + ".damaged")
+			if err != nil || !bytes.Equal(aside, content) {
+				test.Errorf("the damaged file of %s was not set aside: %v", name, err)
 			}
 		}
 		var shown struct{ Sequence uint64 }
-		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence < 4 {
-			test.Errorf("sequence %d is in force, not 4 (%v)", shown.Sequence, failure)
+		if err := stage.change().Get("/v1/configuration", &shown); err != nil || shown.Sequence < 4 {
+			test.Errorf("sequence %d is in force, not 4 (%v)", shown.Sequence, err)
 		}
 	})
 }
--- a/internal/simulation/stage_ends_test.go
+++ b/internal/simulation/stage_ends_test.go
@@ -93,18 +93,18 @@
 func (stage *stage) tellAt(router, body string) string {
 	transport := circuit.NewTransport(circuit.Options{Network: simulation.Port{Fabric: stage.Fabric, Machine: "caller"}, Meter: hall.NewMeter("")})
 	transport.DisableKeepAlives = true
-	answer, failure := (&http.Client{Transport: transport}).Post("http://"+router+"/v1/answer", "application/json", strings.NewReader(body))
-	if failure != nil {
-		return failure.Error()
+	answer, err := (&http.Client{Transport: transport}).Post("http://"+router+"/v1/answer", "application/json", strings.NewReader(body))
+	if err != nil {
+		return err.Error()
 	}
 	defer answer.Body.Close()
-	text, failure := io.ReadAll(answer.Body)
+	text, err := io.ReadAll(answer.Body)
 	var told circuit.Decline
 	switch {
 	case answer.StatusCode != http.StatusOK:
 		_ = json.Unmarshal(text, &told)
 		return told.Ending
-	case failure != nil:
+	case err != nil:
 		return "cut"
 	case strings.Contains(string(text), `"final":true`):
 		return "whole"
@@ -120,12 +120,12 @@
 		leaving, leave := context.WithCancel(context.Background())
 		body := strings.NewReader(`{"tenant":"asociacion","kind":"reply","key":"gone","prompt":"x","tokens":48}`)
 		request, _ := http.NewRequestWithContext(leaving, http.MethodPost, "http://"+stage.routPub[0]+"/v1/answer", body)
-		answer, failure := (&http.Client{Transport: transport}).Do(request)
-		if failure != nil {
-			test.Fatal(failure)
+		answer, err := (&http.Client{Transport: transport}).Do(request)
+		if err != nil {
+			test.Fatal(err)
 		}
-		if _, failure := bufio.NewReader(answer.Body).ReadBytes('\n'); failure != nil {
-			test.Fatal(failure)
+		if _, err := bufio.NewReader(answer.Body).ReadBytes('\n'); err != nil {
+			test.Fatal(err)
 		}
 		if stage.running() != 1 {
 			test.Errorf("%d runs while the answer streams", stage.running())
@@ -141,19 +141,19 @@
 // A template's rules keep its requests to the engines of one hall.
 func TestRulesChooseEngines(test *testing.T) {
 	play(test, func(stage *stage) {
-		text, failure := os.ReadFile("../../examples/asociacion.cue")
-		if failure != nil {
-			test.Fatal(failure)
+		text, err := os.ReadFile("../../examples/asociacion.cue")
+		if err != nil {
+			test.Fatal(err)
 		}
 		path := filepath.Join(stage.folder, "rules.cue")
 		ruled := strings.Replace(string(text), "mostTokens: 48}", `mostTokens: 48, match: "engineHall == \\"centro\\" || tokens > 40"}`, 1)
-		if failure := os.WriteFile(path, []byte(strings.ReplaceAll(ruled, `\\"`, `\"`)), 0o600); failure != nil {
-			test.Fatal(failure)
+		if err := os.WriteFile(path, []byte(strings.ReplaceAll(ruled, `\\"`, `\"`)), 0o600); err != nil {
+			test.Fatal(err)
 		}
 		apply := &operator.Apply{Change: stage.change()}
 		apply.Arguments.File = path
-		if failure := apply.Run(); failure != nil {
-			test.Fatal(failure)
+		if err := apply.Run(); err != nil {
+			test.Fatal(err)
 		}
 		time.Sleep(time.Second)
 		for number := range 12 {
@@ -177,18 +177,18 @@
 		ask := func(key string) (int, circuit.Decline) {
 			return stage.post(url, `{"tenant":"asociacion","kind":"reply","key":"`+key+`","prompt":"x","tokens":48}`, nil)
 		}
-		text, failure := os.ReadFile("../../examples/asociacion.cue")
-		if failure != nil {
-			test.Fatal(failure)
+		text, err := os.ReadFile("../../examples/asociacion.cue")
+		if err != nil {
+			test.Fatal(err)
 		}
 		path := filepath.Join(stage.folder, "narrow.cue")
-		if failure := os.WriteFile(path, []byte(strings.Replace(string(text), "queue: 512", "queue: 1", 1)), 0o600); failure != nil {
-			test.Fatal(failure)
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), "queue: 512", "queue: 1", 1)), 0o600); err != nil {
+			test.Fatal(err)
 		}
 		apply := &operator.Apply{Change: stage.change()}
 		apply.Arguments.File = path
-		if failure := apply.Run(); failure != nil {
-			test.Fatal(failure)
+		if err := apply.Run(); err != nil {
+			test.Fatal(err)
 		}
 		time.Sleep(time.Second)
 		done := make(chan int)
--- a/internal/simulation/stage_input_test.go
+++ b/internal/simulation/stage_input_test.go
@@ -23,14 +23,14 @@
 func (stage *stage) post(url, body string, header http.Header) (int, circuit.Decline) {
 	transport := circuit.NewTransport(circuit.Options{Network: simulation.Port{Fabric: stage.Fabric, Machine: "stranger"}, Meter: hall.NewMeter("")})
 	transport.DisableKeepAlives = true
-	request, failure := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
-	if failure != nil {
-		stage.Fatal(failure)
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		stage.Fatal(err)
 	}
 	request.Header = header
-	answer, failure := (&http.Client{Transport: transport}).Do(request)
-	if failure != nil {
-		return 0, circuit.Decline{Text: failure.Error()}
+	answer, err := (&http.Client{Transport: transport}).Do(request)
+	if err != nil {
+		return 0, circuit.Decline{Text: err.Error()}
 	}
 	defer answer.Body.Close()
 	text, _ := io.ReadAll(answer.Body)
@@ -108,8 +108,8 @@
 			}
 		}
 		var shown core.Shown
-		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 1 || len(shown.Evacuated) > 0 {
-			test.Errorf("sequence %d, evacuated %v (%v)", shown.Sequence, shown.Evacuated, failure)
+		if err := stage.change().Get("/v1/configuration", &shown); err != nil || shown.Sequence != 1 || len(shown.Evacuated) > 0 {
+			test.Errorf("sequence %d, evacuated %v (%v)", shown.Sequence, shown.Evacuated, err)
 		}
 		again := operator.Small{Change: stage.change()}
 		again.Arguments.Pairs = []string{"startMilliseconds=nothing"}
@@ -144,8 +144,8 @@
 		}
 		var counters map[string]int64
 		alone := operator.Target{Cores: stage.corePub[:1], Network: stage.change().Network}
-		if failure := alone.Get("/counters", &counters); failure != nil {
-			test.Fatal(failure)
+		if err := alone.Get("/counters", &counters); err != nil {
+			test.Fatal(err)
 		}
 		if counters["foreign"] != sent*2/3 {
 			test.Errorf("%d foreign messages were counted, not %d", counters["foreign"], sent*2/3)
@@ -163,13 +163,13 @@
 	play(test, func(stage *stage) {
 		alone := operator.Target{Cores: stage.routPub[1:2], Network: stage.change().Network}
 		var text string
-		if failure := alone.Get("/ready", &text); failure != nil {
-			test.Fatal(failure)
+		if err := alone.Get("/ready", &text); err != nil {
+			test.Fatal(err)
 		}
 		stage.Isolate("router-1", []string{"core-0", "core-1", "core-2", "router-0", "router-2"})
 		stage.Suspend("router-1", 2*schedule.Second)
-		if failure := alone.Get("/ready", &text); mishap.CodeOf(failure, 0) != mishap.RouterStale {
-			test.Errorf("right after a suspend of two seconds: %v", failure)
+		if err := alone.Get("/ready", &text); mishap.CodeOf(err, 0) != mishap.RouterStale {
+			test.Errorf("right after a suspend of two seconds: %v", err)
 		}
 	})
 }
--- a/internal/simulation/stage_load_test.go
+++ b/internal/simulation/stage_load_test.go
@@ -19,8 +19,8 @@
 				name := fmt.Sprint("engine-", number)
 				leave := &operator.Leave{Target: stage.change().Target}
 				leave.Arguments.Service, leave.Arguments.Engine = "reservas", name
-				if failure := leave.Run(); failure != nil {
-					test.Error(failure)
+				if err := leave.Run(); err != nil {
+					test.Error(err)
 				}
 				time.Sleep(3 * time.Second)
 				stage.polite(name)
--- a/internal/simulation/stage_mirror_test.go
+++ b/internal/simulation/stage_mirror_test.go
@@ -97,11 +97,11 @@
 				Inner: setting.Inner{Inner: stage.seeds[number], Parts: 2}, Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Rewrite: 16, Data: filepath.Join(folder, name),
 			}
 			stage.add(name, settings.Inner.Inner, settings.Place.Public, func(port simulation.Port) (daemon, error) {
-				made, failure := core.New(settings, setting.Incarnation(), port)
-				if failure == nil {
+				made, err := core.New(settings, setting.Incarnation(), port)
+				if err == nil {
 					made.Attach(registry, registry)
 				}
-				return made, failure
+				return made, err
 			})
 			stage.wake(name)
 		}
--- a/internal/simulation/stage_plays_test.go
+++ b/internal/simulation/stage_plays_test.go
@@ -77,13 +77,13 @@
 		figures := stage.during(14, func() {
 			stage.Isolate("router-1", []string{"core-0", "core-1", "core-2", "router-0", "router-2"})
 			time.Sleep(2 * time.Second)
-			if failure := alone.Get("/ready", &text); mishap.CodeOf(failure, 0) != mishap.RouterStale {
-				test.Errorf("a router that can't prove its configuration says %v", failure)
+			if err := alone.Get("/ready", &text); mishap.CodeOf(err, 0) != mishap.RouterStale {
+				test.Errorf("a router that can't prove its configuration says %v", err)
 			}
 			stage.Heal()
 			time.Sleep(2 * time.Second)
-			if failure := alone.Get("/ready", &text); failure != nil {
-				test.Error(failure)
+			if err := alone.Get("/ready", &text); err != nil {
+				test.Error(err)
 			}
 		})
 		most(test, figures, 0.99)
@@ -114,8 +114,8 @@
 		figures := stage.during(18, func() {
 			evacuate := &operator.Evacuate{Change: stage.change()}
 			evacuate.Arguments.Hall = "sur"
-			if failure := evacuate.Run(); failure != nil {
-				test.Error(failure)
+			if err := evacuate.Run(); err != nil {
+				test.Error(err)
 			}
 			time.Sleep(5 * time.Second)
 			before := stage.begun("engine-2") + stage.begun("engine-5")
@@ -124,8 +124,8 @@
 				test.Errorf("%d runs began in an evacuated hall after five seconds", after-before)
 			}
 			evacuate.Back = true
-			if failure := evacuate.Run(); failure != nil {
-				test.Error(failure)
+			if err := evacuate.Run(); err != nil {
+				test.Error(err)
 			}
 			time.Sleep(2 * time.Second)
 			if after := stage.begun("engine-2") + stage.begun("engine-5"); after == before {
@@ -141,8 +141,8 @@
 		figures := stage.during(14, func() {
 			leave := &operator.Leave{Target: stage.change().Target}
 			leave.Arguments.Service, leave.Arguments.Engine = "reservas", "engine-1"
-			if failure := leave.Run(); failure != nil {
-				test.Error(failure)
+			if err := leave.Run(); err != nil {
+				test.Error(err)
 			}
 			time.Sleep(3 * time.Second)
 			before := stage.begun("engine-1")
@@ -159,8 +159,8 @@
 	play(test, func(stage *stage) {
 		small := &operator.Small{Change: stage.change()}
 		small.Arguments.Pairs = []string{"startMilliseconds=450"}
-		if failure := small.Run(); failure != nil {
-			test.Fatal(failure)
+		if err := small.Run(); err != nil {
+			test.Fatal(err)
 		}
 		time.Sleep(2 * time.Second)
 		cores := []string{"core-0", "core-1", "core-2"}
@@ -179,8 +179,8 @@
 			configuration.View
 			Sequence uint64
 		}
-		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 2 {
-			test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, failure)
+		if err := stage.change().Get("/v1/configuration", &shown); err != nil || shown.Sequence != 2 {
+			test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, err)
 		}
 	})
 }
@@ -189,8 +189,8 @@
 	play(test, func(stage *stage) {
 		small := &operator.Small{Change: stage.change()}
 		small.Arguments.Pairs = []string{"startMilliseconds=450"}
-		if failure := small.Run(); failure != nil {
-			test.Fatal(failure)
+		if err := small.Run(); err != nil {
+			test.Fatal(err)
 		}
 		herd := []string{"core-0", "core-1", "core-2", "router-0", "router-1", "router-2"}
 		for _, name := range herd {
@@ -204,8 +204,8 @@
 			test.Errorf("serving came back only after %v", span)
 		}
 		var shown struct{ Sequence uint64 }
-		if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 2 {
-			test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, failure)
+		if err := stage.change().Get("/v1/configuration", &shown); err != nil || shown.Sequence != 2 {
+			test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, err)
 		}
 	})
 }
@@ -234,8 +234,8 @@
 			play(test, func(stage *stage) {
 				small := &operator.Small{Change: stage.change()}
 				small.Arguments.Pairs = []string{"startMilliseconds=450"}
-				if failure := small.Run(); failure != nil {
-					test.Fatal(failure)
+				if err := small.Run(); err != nil {
+					test.Fatal(err)
 				}
 				for number := range 3 {
 					if number != spared {
@@ -253,8 +253,8 @@
 					test.Errorf("serving came back only after %v", span)
 				}
 				var shown struct{ Sequence uint64 }
-				if failure := stage.change().Get("/v1/configuration", &shown); failure != nil || shown.Sequence != 2 {
-					test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, failure)
+				if err := stage.change().Get("/v1/configuration", &shown); err != nil || shown.Sequence != 2 {
+					test.Errorf("sequence %d is in force, not 2 (%v)", shown.Sequence, err)
 				}
 			})
 		})
--- a/internal/simulation/stage_region_test.go
+++ b/internal/simulation/stage_region_test.go
@@ -51,8 +51,8 @@
 	transport := circuit.NewTransport(circuit.Options{Network: port, Meter: hall.NewMeter("")})
 	transport.DisableKeepAlives = true
 	client := &http.Client{Transport: transport, Timeout: time.Second}
-	answer, failure := client.Get("http://" + stage.routPub[number] + "/ready")
-	if failure != nil {
+	answer, err := client.Get("http://" + stage.routPub[number] + "/ready")
+	if err != nil {
 		return false
 	}
 	defer answer.Body.Close()
@@ -73,8 +73,8 @@
 		stage.spread(everyone...)
 		figures := stage.during(30, func() {
 			gone := stage.place(0)
-			if failure := stage.drain(stageRegions[halls[gone]], false); failure != nil {
-				stage.Fatal(failure)
+			if err := stage.drain(stageRegions[halls[gone]], false); err != nil {
+				stage.Fatal(err)
 			}
 			time.Sleep(regionIn + time.Second)
 			before := stage.begun(fmt.Sprint("engine-", gone)) + stage.begun(fmt.Sprint("engine-", gone+3))
@@ -110,8 +110,8 @@
 			if after != before || before == 0 {
 				test.Errorf("the engines of the drained region had %d runs at first and %d later", before, after)
 			}
-			if failure := stage.drain(stageRegions[halls[gone]], true); failure != nil {
-				stage.Fatal(failure)
+			if err := stage.drain(stageRegions[halls[gone]], true); err != nil {
+				stage.Fatal(err)
 			}
 			time.Sleep(3 * time.Second)
 			if !stage.ready(gone) {
@@ -134,8 +134,8 @@
 		stage.spread(everyone...)
 		figures := stage.during(30, func() {
 			gone := stage.place(0)
-			if failure := stage.drain(stageRegions[halls[gone]], false); failure != nil {
-				stage.Fatal(failure)
+			if err := stage.drain(stageRegions[halls[gone]], false); err != nil {
+				stage.Fatal(err)
 			}
 			time.Sleep(regionIn + time.Second)
 			inside := []string{fmt.Sprint("core-", gone), fmt.Sprint("router-", gone), fmt.Sprint("engine-", gone), fmt.Sprint("engine-", gone+3)}
@@ -195,8 +195,8 @@
 				gone = place
 			}
 		}
-		if failure := stage.drain(stageRegions[halls[gone]], false); failure != nil {
-			stage.Fatal(failure)
+		if err := stage.drain(stageRegions[halls[gone]], false); err != nil {
+			stage.Fatal(err)
 		}
 		time.Sleep(regionIn + regionOver)
 		stage.awaitHeld(5, 14*time.Second)
--- a/internal/simulation/stage_reserve_test.go
+++ b/internal/simulation/stage_reserve_test.go
@@ -160,8 +160,8 @@
 		for _, address := range stage.routPub {
 			var counters map[string]int64
 			target := operator.Target{Cores: []string{address}, Network: simulation.Port{Fabric: stage.Fabric, Machine: "operator"}}
-			if failure := target.Get("/counters", &counters); failure != nil {
-				test.Fatal(failure)
+			if err := target.Get("/counters", &counters); err != nil {
+				test.Fatal(err)
 			}
 			offered += counters["copies-offered"]
 		}
--- a/internal/simulation/stage_seats_test.go
+++ b/internal/simulation/stage_seats_test.go
@@ -51,8 +51,8 @@
 			}
 			small := &operator.Small{Change: stage.change()}
 			small.Arguments.Pairs = []string{"startMilliseconds=450"}
-			if failure := small.Run(); failure != nil {
-				test.Error(failure)
+			if err := small.Run(); err != nil {
+				test.Error(err)
 			}
 		})
 		most(test, figures, 0.98)
--- a/internal/simulation/stage_test.go
+++ b/internal/simulation/stage_test.go
@@ -146,11 +146,11 @@
 		Lengths: setting.Lengths{Delta: 200, Lease: 3000}, Rewrite: 16, Data: filepath.Join(stage.folder, name),
 	}
 	stage.add(name, inner, public, func(port simulation.Port) (daemon, error) {
-		made, failure := core.New(settings, setting.Incarnation(), port)
+		made, err := core.New(settings, setting.Incarnation(), port)
 		stage.lock.Lock()
 		stage.cores[name] = made
 		stage.lock.Unlock()
-		return made, failure
+		return made, err
 	})
 }
 
@@ -161,15 +161,15 @@
 func (stage *stage) add(name, inner, public string, make func(simulation.Port) (daemon, error)) {
 	stage.start[name] = func() func(context.Context) error {
 		port := simulation.Port{Fabric: stage.Fabric, Machine: name}
-		each, failure := make(port)
-		if failure != nil {
-			stage.Fatal(failure)
+		each, err := make(port)
+		if err != nil {
+			stage.Fatal(err)
 		}
-		listeners, failure := core.Listen(port, inner, public)
-		if failure != nil {
-			stage.Fatal(failure)
+		listeners, err := core.Listen(port, inner, public)
+		if err != nil {
+			stage.Fatal(err)
 		}
-		return func(context context.Context) error { return each.Run(context, listeners) }
+		return func(ctx context.Context) error { return each.Run(ctx, listeners) }
 	}
 }
 
@@ -184,19 +184,19 @@
 	}
 	stage.start[name] = func() func(context.Context) error {
 		port := simulation.Port{Fabric: stage.Fabric, Machine: name}
-		each, failure := engine.New(settings, stage.observers[name], port)
-		if failure != nil {
-			stage.Fatal(failure)
+		each, err := engine.New(settings, stage.observers[name], port)
+		if err != nil {
+			stage.Fatal(err)
 		}
 		each.Meddle = stage.meddle
 		stage.lock.Lock()
 		stage.engines[name] = each
 		stage.lock.Unlock()
-		listener, failure := port.Listen(settings.Address)
-		if failure != nil {
-			stage.Fatal(failure)
+		listener, err := port.Listen(settings.Address)
+		if err != nil {
+			stage.Fatal(err)
 		}
-		return func(context context.Context) error { return each.Run(context, listener) }
+		return func(ctx context.Context) error { return each.Run(ctx, listener) }
 	}
 }
 
@@ -232,8 +232,8 @@
 }
 
 func (stage *stage) wipe(name string) {
-	if failure := os.RemoveAll(filepath.Join(stage.folder, name)); failure != nil {
-		stage.Fatal(failure)
+	if err := os.RemoveAll(filepath.Join(stage.folder, name)); err != nil {
+		stage.Fatal(err)
 	}
 }
 
@@ -252,14 +252,14 @@
 func (stage *stage) configure() {
 	apply := &operator.Apply{Change: stage.change()}
 	apply.Arguments.File = stage.document
-	var failure error
+	var err error
 	for range 100 {
-		if failure = apply.Run(); failure == nil {
+		if err = apply.Run(); err == nil {
 			return
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	stage.Fatal(failure)
+	stage.Fatal(err)
 }
 
 // during runs a load, has the failures happen in it, and checks what must never
@@ -314,7 +314,7 @@
 func (stage *stage) recovers() time.Duration {
 	begun := time.Now()
 	for time.Since(begun) < 30*time.Second {
-		if figures, failure := stage.drive(1); failure == nil && figures.Endings["whole"] == figures.Sent {
+		if figures, err := stage.drive(1); err == nil && figures.Endings["whole"] == figures.Sent {
 			break
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -323,9 +323,9 @@
 }
 
 func (stage *stage) load(seconds int) *load.Figures {
-	figures, failure := stage.drive(seconds)
-	if failure != nil {
-		stage.Fatal(failure)
+	figures, err := stage.drive(seconds)
+	if err != nil {
+		stage.Fatal(err)
 	}
 	return figures
 }
@@ -336,20 +336,20 @@
 
 // crowd is a load of its own rates.
 func (stage *stage) crowd(seconds int, long, short float64) *load.Figures {
-	figures, failure := stage.rates(seconds, long, short)
-	if failure != nil {
-		stage.Error(failure)
+	figures, err := stage.rates(seconds, long, short)
+	if err != nil {
+		stage.Error(err)
 	}
 	return figures
 }
 
 func (stage *stage) rates(seconds int, long, short float64) (*load.Figures, error) {
-	run, failure := load.New(load.Settings{
+	run, err := load.New(load.Settings{
 		Cores: stage.corePub, Routers: stage.routPub, Tenant: stage.tenant, Long: stage.long, Short: stage.short,
 		LongRate: long, ShortRate: short, Seconds: seconds, Seed: 1,
 	}, simulation.Port{Fabric: stage.Fabric, Machine: "caller"})
-	if failure != nil {
-		stage.Fatal(failure)
+	if err != nil {
+		stage.Fatal(err)
 	}
 	return run.Drive(context.Background())
 }
@@ -358,8 +358,8 @@
 func (stage *stage) begun(name string) int {
 	var ledger engine.Ledger
 	target := operator.Target{Cores: []string{"127.0.2." + name[len("engine-"):] + ":2"}, Network: simulation.Port{Fabric: stage.Fabric, Machine: "operator"}}
-	if failure := target.Get(engine.LedgerPath, &ledger); failure != nil {
-		stage.Error(failure)
+	if err := target.Get(engine.LedgerPath, &ledger); err != nil {
+		stage.Error(err)
 	}
 	return len(ledger.Lines)
 }
