Name errors err and contexts ctx in internal/trial

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The package and its tests compile.

--- a/internal/trial/processes.go
+++ b/internal/trial/processes.go
@@ -25,9 +25,9 @@
 }
 
 func (process *process) start() error {
-	output, failure := os.OpenFile(filepath.Join(process.folder, process.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, process.name)
+	output, err := os.OpenFile(filepath.Join(process.folder, process.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, process.name)
 	}
 	defer output.Close()
 	process.command = exec.Command(process.binary, process.flags...)
@@ -68,9 +68,9 @@
 func addresses(count int) ([]string, error) {
 	var found []string
 	for range count {
-		listener, failure := net.Listen("tcp", "127.0.0.1:0")
-		if failure != nil {
-			return nil, mishap.Wrap(failure, mishap.AddressTaken, "free port")
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, mishap.Wrap(err, mishap.AddressTaken, "free port")
 		}
 		defer listener.Close()
 		found = append(found, listener.Addr().String())
@@ -79,9 +79,9 @@
 }
 
 func newCrowd(binary, folder string, routers, engines int) (*crowd, error) {
-	free, failure := addresses(6 + 2*routers + engines)
-	if failure != nil {
-		return nil, failure
+	free, err := addresses(6 + 2*routers + engines)
+	if err != nil {
+		return nil, err
 	}
 	crowd := &crowd{binary: binary, folder: folder, halls: []string{"norte", "centro", "sur"}}
 	crowd.coreIn, crowd.corePub, free = free[:3], free[3:6], free[6:]
@@ -119,8 +119,8 @@
 
 func (crowd *crowd) start() error {
 	for _, each := range crowd.all() {
-		if failure := each.start(); failure != nil {
-			return failure
+		if err := each.start(); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -145,9 +145,9 @@
 	return sum
 }
 
-func pause(context context.Context, span time.Duration) {
+func pause(ctx context.Context, span time.Duration) {
 	select {
-	case <-context.Done():
+	case <-ctx.Done():
 	case <-time.After(span):
 	}
 }
--- a/internal/trial/rollout.go
+++ b/internal/trial/rollout.go
@@ -41,22 +41,22 @@
 
 // Run starts the fleet, the storm and the watch, and prints the spread.
 func (rollout *Rollout) Run() error {
-	folder, failure := os.MkdirTemp("", "coursepass-trial-")
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, "folder")
+	folder, err := os.MkdirTemp("", "coursepass-trial-")
+	if err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, "folder")
 	}
 	defer os.RemoveAll(folder)
-	crowd, failure := newCrowd(rollout.Binary, folder, rollout.Routers, 3)
-	if failure != nil {
-		return failure
+	crowd, err := newCrowd(rollout.Binary, folder, rollout.Routers, 3)
+	if err != nil {
+		return err
 	}
 	defer crowd.stop()
-	if failure := crowd.start(); failure != nil {
-		return failure
+	if err := crowd.start(); err != nil {
+		return err
 	}
-	document, failure := os.ReadFile(rollout.Document)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.SettingBad, "--configuration")
+	document, err := os.ReadFile(rollout.Document)
+	if err != nil {
+		return mishap.Wrap(err, mishap.SettingBad, "--configuration")
 	}
 	if rollout.Padding > 0 {
 		document = append(document, "\nservices: reservas: prefixes: {\n"...)
@@ -66,11 +66,11 @@
 		document = append(document, "}\n"...)
 	}
 	filled := folder + "/document.cue"
-	if failure := os.WriteFile(filled, document, 0o600); failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, "document")
+	if err := os.WriteFile(filled, document, 0o600); err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, "document")
 	}
-	if failure := crowd.configure(filled); failure != nil {
-		return failure
+	if err := crowd.configure(filled); err != nil {
+		return err
 	}
 	storm := &storm{acked: map[uint64]time.Time{}, everyone: map[uint64]time.Time{}, endings: map[string]int{}, installed: make([]uint64, rollout.Routers)}
 	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(rollout.Seconds)*time.Second)
@@ -106,8 +106,8 @@
 			Changes: map[string]string{"startMilliseconds": fmt.Sprint(400 + turn%100)},
 		}
 		body, _ := json.Marshal(request)
-		answer, failure := client.Post("http://"+cores[(number+turn)%len(cores)]+"/v1/operations", "application/json", strings.NewReader(string(body)))
-		if failure != nil {
+		answer, err := client.Post("http://"+cores[(number+turn)%len(cores)]+"/v1/operations", "application/json", strings.NewReader(string(body)))
+		if err != nil {
 			storm.ending("no answer")
 			continue
 		}
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -60,26 +60,26 @@
 	if !known {
 		return mishap.New(mishap.SettingBad, "--scenario: %q is none of %s", processes.Scenario, strings.Join(slices.Sorted(maps.Keys(scenarios)), ", "))
 	}
-	folder, failure := os.MkdirTemp("", "coursepass-trial-")
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, "folder")
+	folder, err := os.MkdirTemp("", "coursepass-trial-")
+	if err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, "folder")
 	}
 	if processes.Keep {
 		fmt.Println("logs and data in", folder)
 	} else {
 		defer os.RemoveAll(folder)
 	}
-	crowd, failure := newCrowd(processes.Binary, folder, processes.Routers, processes.Engines)
-	if failure != nil {
-		return failure
+	crowd, err := newCrowd(processes.Binary, folder, processes.Routers, processes.Engines)
+	if err != nil {
+		return err
 	}
 	defer crowd.stop()
-	if failure := crowd.start(); failure != nil {
-		return failure
+	if err := crowd.start(); err != nil {
+		return err
 	}
 	begun := time.Now()
-	if failure := crowd.configure(processes.Document); failure != nil {
-		return failure
+	if err := crowd.configure(processes.Document); err != nil {
+		return err
 	}
 	fmt.Printf("scenario %s: configuration in force %d ms after the start\n", processes.Scenario, time.Since(begun).Milliseconds())
 	time.Sleep(4 * time.Second)
@@ -87,13 +87,13 @@
 }
 
 func (processes *Processes) drive(crowd *crowd, cause failure) error {
-	run, failure := load.New(load.Settings{
+	run, err := load.New(load.Settings{
 		Cores: crowd.corePub, Routers: crowd.routPub, Tenant: "asociacion", Long: "waiver", Short: "reply",
 		LongRate: processes.Long, ShortRate: processes.Short, Seconds: processes.Seconds, Seed: processes.Seed,
 		Doubled: processes.Doubled, Again: 5 * processes.Doubled,
 	}, circuit.System)
-	if failure != nil {
-		return failure
+	if err != nil {
+		return err
 	}
 	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(processes.Seconds+60)*time.Second)
 	defer cancel()
@@ -102,12 +102,12 @@
 		pause(bounded, time.Duration(processes.Seconds)*time.Second/4)
 		caused <- cause(bounded, crowd)
 	}()
-	figures, failure := run.Drive(bounded)
-	if failure != nil {
-		return failure
+	figures, err := run.Drive(bounded)
+	if err != nil {
+		return err
 	}
-	if failure := <-caused; failure != nil {
-		return failure
+	if err := <-caused; err != nil {
+		return err
 	}
 	figures.Print(os.Stdout, false)
 	crowd.count()
@@ -121,9 +121,9 @@
 
 func get(address, path string, into any) error {
 	client := &http.Client{Timeout: 2 * time.Second}
-	answer, failure := client.Get("http://" + address + path)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	answer, err := client.Get("http://" + address + path)
+	if err != nil {
+		return mishap.Wrap(err, mishap.CircuitLost, address)
 	}
 	defer answer.Body.Close()
 	return mishap.Wrap(json.NewDecoder(answer.Body).Decode(into), mishap.Garbage, address)
@@ -157,13 +157,13 @@
 func (crowd *crowd) configure(document string) error {
 	apply := &operator.Apply{Change: operator.Change{Target: operator.Target{Cores: crowd.corePub}, Expect: 0, Key: "trial-start"}}
 	apply.Arguments.File = document
-	var failure error
+	var err error
 	for begun := time.Now(); time.Since(begun) < 30*time.Second; time.Sleep(200 * time.Millisecond) {
-		if failure = apply.Run(); failure == nil {
+		if err = apply.Run(); err == nil {
 			return nil
 		}
 	}
-	return failure
+	return err
 }
 
 // leader finds the core that owns the service's part.
@@ -182,65 +182,65 @@
 	return -1, 0
 }
 
-func (crowd *crowd) awaitLeader(context context.Context, other int, begun time.Time) {
-	for context.Err() == nil && time.Since(begun) < 20*time.Second {
+func (crowd *crowd) awaitLeader(ctx context.Context, other int, begun time.Time) {
+	for ctx.Err() == nil && time.Since(begun) < 20*time.Second {
 		if number, round := crowd.leader(); number >= 0 && number != other {
 			fmt.Printf("core-%d leads in round %d, %d ms after the failure\n", number, round, time.Since(begun).Milliseconds())
 			return
 		}
-		pause(context, 50*time.Millisecond)
+		pause(ctx, 50*time.Millisecond)
 	}
 }
 
-func leaderKilled(context context.Context, crowd *crowd) error {
+func leaderKilled(ctx context.Context, crowd *crowd) error {
 	number, round := crowd.leader()
 	if number < 0 {
 		return mishap.New(mishap.NotOwner, "no leader to kill")
 	}
 	fmt.Printf("kill core-%d, which leads in round %d\n", number, round)
 	crowd.cores[number].end(syscall.SIGKILL)
-	crowd.awaitLeader(context, number, time.Now())
-	pause(context, 3*time.Second)
+	crowd.awaitLeader(ctx, number, time.Now())
+	pause(ctx, 3*time.Second)
 	return crowd.cores[number].start()
 }
 
-func leaderFrozen(context context.Context, crowd *crowd) error {
+func leaderFrozen(ctx context.Context, crowd *crowd) error {
 	number, round := crowd.leader()
 	if number < 0 {
 		return mishap.New(mishap.NotOwner, "no leader to freeze")
 	}
 	fmt.Printf("freeze core-%d, which leads in round %d, for 6 s\n", number, round)
 	crowd.cores[number].signal(syscall.SIGSTOP)
-	pause(context, 6*time.Second)
+	pause(ctx, 6*time.Second)
 	crowd.cores[number].signal(syscall.SIGCONT)
-	crowd.awaitLeader(context, number, time.Now())
+	crowd.awaitLeader(ctx, number, time.Now())
 	return nil
 }
 
-func coreWiped(context context.Context, crowd *crowd) error {
+func coreWiped(ctx context.Context, crowd *crowd) error {
 	number, _ := crowd.leader()
 	number = max(number, 0)
 	fmt.Printf("kill core-%d and lose its disk\n", number)
 	crowd.cores[number].end(syscall.SIGKILL)
-	if failure := os.RemoveAll(filepath.Join(crowd.folder, crowd.cores[number].name)); failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, "wipe")
+	if err := os.RemoveAll(filepath.Join(crowd.folder, crowd.cores[number].name)); err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, "wipe")
 	}
-	pause(context, time.Second)
+	pause(ctx, time.Second)
 	return crowd.cores[number].start()
 }
 
 // coreMoved has a core machine come back empty at a new address, and then kills
 // another, so that the returned one is needed for every majority.
-func coreMoved(context context.Context, crowd *crowd) error {
-	free, failure := addresses(2)
-	if failure != nil {
-		return failure
+func coreMoved(ctx context.Context, crowd *crowd) error {
+	free, err := addresses(2)
+	if err != nil {
+		return err
 	}
 	moved := crowd.cores[2]
 	fmt.Println("kill core-2 and lose its disk; it comes back at a new address")
 	moved.end(syscall.SIGKILL)
-	if failure := os.RemoveAll(filepath.Join(crowd.folder, moved.name)); failure != nil {
-		return mishap.Wrap(failure, mishap.StartFailed, "wipe")
+	if err := os.RemoveAll(filepath.Join(crowd.folder, moved.name)); err != nil {
+		return mishap.Wrap(err, mishap.StartFailed, "wipe")
 	}
 	for place, flag := range moved.flags {
 		switch flag {
@@ -251,17 +251,17 @@
 		}
 	}
 	crowd.corePub[2] = free[1]
-	pause(context, time.Second)
+	pause(ctx, time.Second)
 	begun := time.Now()
-	if failure := moved.start(); failure != nil {
-		return failure
+	if err := moved.start(); err != nil {
+		return err
 	}
 	for !crowd.seated(2) && time.Since(begun) < 30*time.Second {
-		pause(context, 50*time.Millisecond)
+		pause(ctx, 50*time.Millisecond)
 	}
 	fmt.Printf("core-2 has its seats %d ms after its start; kill core-0\n", time.Since(begun).Milliseconds())
 	crowd.cores[0].end(syscall.SIGKILL)
-	crowd.awaitLeader(context, 0, time.Now())
+	crowd.awaitLeader(ctx, 0, time.Now())
 	return nil
 }
 
@@ -278,60 +278,60 @@
 	return true
 }
 
-func coresKilled(context context.Context, crowd *crowd) error {
+func coresKilled(ctx context.Context, crowd *crowd) error {
 	fmt.Println("kill all cores, start them again after 2 s")
 	for _, each := range crowd.cores {
 		each.end(syscall.SIGKILL)
 	}
-	return crowd.back(context, crowd.cores)
+	return crowd.back(ctx, crowd.cores)
 }
 
 // back starts processes again after two seconds and waits for a leader.
-func (crowd *crowd) back(context context.Context, gone []*process) error {
-	pause(context, 2*time.Second)
+func (crowd *crowd) back(ctx context.Context, gone []*process) error {
+	pause(ctx, 2*time.Second)
 	for _, each := range gone {
-		if failure := each.start(); failure != nil {
-			return failure
+		if err := each.start(); err != nil {
+			return err
 		}
 	}
-	crowd.awaitLeader(context, -1, time.Now())
+	crowd.awaitLeader(ctx, -1, time.Now())
 	return nil
 }
 
-func engineKilled(context context.Context, crowd *crowd) error {
+func engineKilled(ctx context.Context, crowd *crowd) error {
 	fmt.Println("kill engine-0 and engine-7, start them again after 2 s")
 	for _, number := range []int{0, 7} {
 		crowd.engines[number].end(syscall.SIGKILL)
 	}
-	pause(context, 2*time.Second)
+	pause(ctx, 2*time.Second)
 	for _, number := range []int{0, 7} {
-		if failure := crowd.engines[number].start(); failure != nil {
-			return failure
+		if err := crowd.engines[number].start(); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func engineFrozen(context context.Context, crowd *crowd) error {
+func engineFrozen(ctx context.Context, crowd *crowd) error {
 	fmt.Println("freeze engine-0 and engine-7 for 4 s")
 	for _, number := range []int{0, 7} {
 		crowd.engines[number].signal(syscall.SIGSTOP)
 	}
-	pause(context, 4*time.Second)
+	pause(ctx, 4*time.Second)
 	for _, number := range []int{0, 7} {
 		crowd.engines[number].signal(syscall.SIGCONT)
 	}
 	return nil
 }
 
-func routerKilled(context context.Context, crowd *crowd) error {
+func routerKilled(ctx context.Context, crowd *crowd) error {
 	fmt.Println("kill router-0, start it again after 2 s")
 	crowd.routers[0].end(syscall.SIGKILL)
-	pause(context, 2*time.Second)
+	pause(ctx, 2*time.Second)
 	return crowd.routers[0].start()
 }
 
-func routerStopped(context context.Context, crowd *crowd) error {
+func routerStopped(ctx context.Context, crowd *crowd) error {
 	fmt.Println("stop router-0 politely, start it again")
 	begun := time.Now()
 	crowd.routers[0].end(syscall.SIGTERM)
@@ -339,14 +339,14 @@
 	return crowd.routers[0].start()
 }
 
-func evacuated(context context.Context, crowd *crowd) error {
+func evacuated(ctx context.Context, crowd *crowd) error {
 	evacuate := &operator.Evacuate{Change: operator.Change{Target: operator.Target{Cores: crowd.corePub}, Expect: -1}}
 	evacuate.Arguments.Hall = "sur"
 	fmt.Println("evacuate hall sur, let it back after 8 s")
-	if failure := evacuate.Run(); failure != nil {
-		return failure
+	if err := evacuate.Run(); err != nil {
+		return err
 	}
-	pause(context, 8*time.Second)
+	pause(ctx, 8*time.Second)
 	evacuate.Back = true
 	return evacuate.Run()
 }
@@ -358,11 +358,11 @@
 	return leave.Run()
 }
 
-func herd(context context.Context, crowd *crowd) error {
+func herd(ctx context.Context, crowd *crowd) error {
 	fmt.Println("kill all cores and routers, start them again after 2 s")
 	gone := append(slices.Clone(crowd.cores), crowd.routers...)
 	for _, each := range gone {
 		each.end(syscall.SIGKILL)
 	}
-	return crowd.back(context, gone)
+	return crowd.back(ctx, gone)
 }
