Name errors err and contexts ctx in internal/circuit

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The package and its tests compile.

--- a/internal/circuit/codec.go
+++ b/internal/circuit/codec.go
@@ -139,14 +139,14 @@
 // Marshal encodes a message with its definitions.
 func (fullCodec) Marshal(message any) ([]byte, error) {
 	var buffer bytes.Buffer
-	failure := gob.NewEncoder(&buffer).Encode(message)
-	return buffer.Bytes(), failure
+	err := gob.NewEncoder(&buffer).Encode(message)
+	return buffer.Bytes(), err
 }
 
 // Unmarshal decodes a message and remembers its definitions.
 func (codec fullCodec) Unmarshal(data []byte, message any) error {
-	if failure := gob.NewDecoder(bytes.NewReader(data)).Decode(message); failure != nil {
-		return failure
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(message); err != nil {
+		return err
 	}
 	if definitions, _, whole := split(data); whole {
 		codec.learn(definitions)
@@ -166,8 +166,8 @@
 		encoder.Encoder = gob.NewEncoder(&encoder.buffer)
 	}
 	encoder.buffer.Reset()
-	if failure := encoder.Encode(message); failure != nil {
-		return nil, failure
+	if err := encoder.Encode(message); err != nil {
+		return nil, err
 	}
 	value := encoder.buffer.Bytes()
 	if !encoder.primed {
@@ -203,8 +203,8 @@
 		value = append(bytes.Clone(definitions), value...)
 	}
 	decoder.feeder.Reset(value)
-	if failure := decoder.Decode(message); failure != nil {
-		return failure
+	if err := decoder.Decode(message); err != nil {
+		return err
 	}
 	if decoder.feeder.Len() > 0 {
 		return mishap.New(mishap.Garbage, "%d bytes after a gob", decoder.feeder.Len())
--- a/internal/circuit/codec_test.go
+++ b/internal/circuit/codec_test.go
@@ -18,16 +18,16 @@
 		sent := &letter{Words: []string{"a", "b"}, Count: map[string]int64{"x": 1}}
 		sent.Inside.Number = 7
 		var got letter
-		short, failure := shortCodec{sender}.Marshal(sent)
-		So(failure, ShouldBeNil)
+		short, err := shortCodec{sender}.Marshal(sent)
+		So(err, ShouldBeNil)
 		So(shortCodec{receiver}.Unmarshal(short, &got), ShouldNotBeNil)
-		full, failure := fullCodec{sender}.Marshal(sent)
-		So(failure, ShouldBeNil)
+		full, err := fullCodec{sender}.Marshal(sent)
+		So(err, ShouldBeNil)
 		So(fullCodec{receiver}.Unmarshal(full, &got), ShouldBeNil)
 		for turn := range 5 {
 			sent.Inside.Number = turn
-			short, failure = shortCodec{sender}.Marshal(sent)
-			So(failure, ShouldBeNil)
+			short, err = shortCodec{sender}.Marshal(sent)
+			So(err, ShouldBeNil)
 			So(len(short), ShouldBeLessThan, len(full)/2)
 			got = letter{}
 			So(shortCodec{receiver}.Unmarshal(short, &got), ShouldBeNil)
@@ -46,8 +46,8 @@
 		both := newPrimers()
 		full, _ := fullCodec{both}.Marshal(&letter{})
 		So(fullCodec{both}.Unmarshal(full, &letter{}), ShouldBeNil)
-		short, failure := shortCodec{both}.Marshal(&letter{})
-		So(failure, ShouldBeNil)
+		short, err := shortCodec{both}.Marshal(&letter{})
+		So(err, ShouldBeNil)
 		So(shortCodec{both}.Unmarshal(short, &letter{}), ShouldBeNil)
 	})
 }
--- a/internal/circuit/dial.go
+++ b/internal/circuit/dial.go
@@ -17,14 +17,14 @@
 
 // CheckAddress declines an address that is not an IP number with a port.
 func CheckAddress(address string) error {
-	_, failure := netip.ParseAddrPort(address)
-	return mishap.Wrap(failure, mishap.SettingBad, "address "+address+" is not an IP number with a port")
+	_, err := netip.ParseAddrPort(address)
+	return mishap.Wrap(err, mishap.SettingBad, "address "+address+" is not an IP number with a port")
 }
 
 // Network opens circuits. System is the machine's own; simulations have others.
 type Network interface {
 	Listen(address string) (net.Listener, error)
-	Dial(context context.Context, address string, silence schedule.Microseconds) (net.Conn, error)
+	Dial(ctx context.Context, address string, silence schedule.Microseconds) (net.Conn, error)
 }
 
 // Timed is a network whose machines have a clock of their own.
@@ -48,13 +48,13 @@
 
 // Listen listens on an IP number and port.
 func (system) Listen(address string) (net.Listener, error) {
-	listener, failure := net.Listen("tcp", address)
-	return listener, mishap.Wrap(failure, mishap.AddressTaken, address)
+	listener, err := net.Listen("tcp", address)
+	return listener, mishap.Wrap(err, mishap.AddressTaken, address)
 }
 
 // Dial opens a circuit; with a silence, the kernel keeps trying no longer than
 // that, and drops at a close what still waits in it.
-func (system) Dial(context context.Context, address string, silence schedule.Microseconds) (net.Conn, error) {
+func (system) Dial(ctx context.Context, address string, silence schedule.Microseconds) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		if silence == 0 {
 			return nil
@@ -63,9 +63,9 @@
 			_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/schedule.Millisecond))
 		})
 	}}
-	circuit, failure := dialer.DialContext(context, "tcp", address)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.CircuitLost, address)
+	circuit, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.CircuitLost, address)
 	}
 	if plain, yes := circuit.(*net.TCPConn); yes && silence != 0 {
 		_ = plain.SetLinger(0)
@@ -91,30 +91,30 @@
 }
 
 func (circuit *countedCircuit) Read(buffer []byte) (int, error) {
-	count, failure := circuit.Conn.Read(buffer)
+	count, err := circuit.Conn.Read(buffer)
 	circuit.Meter.Count(circuit.address, count)
-	return count, failure
+	return count, err
 }
 
 func (circuit *countedCircuit) Write(buffer []byte) (int, error) {
 	if circuit.Guard != nil {
-		if failure := circuit.Guard(); failure != nil {
+		if err := circuit.Guard(); err != nil {
 			circuit.Conn.Close()
-			return 0, failure
+			return 0, err
 		}
 	}
-	count, failure := circuit.Conn.Write(buffer)
+	count, err := circuit.Conn.Write(buffer)
 	circuit.Meter.Count(circuit.address, count)
-	return count, failure
+	return count, err
 }
 
 // NewTransport makes an HTTP/1.1 transport over counted circuits.
 func NewTransport(options Options) *http.Transport {
 	transport := &http.Transport{
-		DialContext: func(context context.Context, _, address string) (net.Conn, error) {
-			plain, failure := options.Network.Dial(context, address, options.Silence)
-			if failure != nil {
-				return nil, failure
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			plain, err := options.Network.Dial(ctx, address, options.Silence)
+			if err != nil {
+				return nil, err
 			}
 			return &countedCircuit{plain, options, address}, nil
 		},
--- a/internal/circuit/inner.go
+++ b/internal/circuit/inner.go
@@ -74,10 +74,10 @@
 
 // Answer serves a procedure.
 func Answer[Question, Reply any](inner *Inner, procedure string, answer func(context.Context, *Question) (*Reply, error)) {
-	handler := connect.NewUnaryHandler(procedure, func(context context.Context, request *connect.Request[Question]) (*connect.Response[Reply], error) {
-		reply, failure := answer(context, request.Msg)
-		if failure != nil {
-			return nil, connect.NewError(connect.CodeAborted, failure)
+	handler := connect.NewUnaryHandler(procedure, func(ctx context.Context, request *connect.Request[Question]) (*connect.Response[Reply], error) {
+		reply, err := answer(ctx, request.Msg)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeAborted, err)
 		}
 		return connect.NewResponse(reply), nil
 	}, connect.WithCodec(fullCodec{inner.primers}), connect.WithCodec(shortCodec{inner.primers}), connect.WithReadMaxBytes(largest), connect.WithCompressMinBytes(worthPacking),
@@ -102,9 +102,9 @@
 		found, _ = inner.calls.LoadOrStore(key, made)
 	}
 	inner.Meter.Calls.Add(1)
-	reply, failure := found.(*caller[Question, Reply]).call(bounded, inner, question)
-	if failure != nil {
-		return nil, mishap.Wrap(failure, mishap.CircuitLost, key)
+	reply, err := found.(*caller[Question, Reply]).call(bounded, inner, question)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.CircuitLost, key)
 	}
 	return reply, nil
 }
@@ -120,41 +120,41 @@
 
 func (caller *caller[Question, Reply]) call(bounded context.Context, inner *Inner, question *Question) (*Reply, error) {
 	if caller.short.Load() {
-		reply, failure := caller.once(bounded, inner, 1, question)
-		if failure == nil {
+		reply, err := caller.once(bounded, inner, 1, question)
+		if err == nil {
 			return reply, nil
 		}
 		caller.short.Store(false)
-		if !connect.IsWireError(failure) || connect.CodeOf(failure) != connect.CodeInvalidArgument || !strings.Contains(failure.Error(), unknownPrimer) {
-			return nil, failure
+		if !connect.IsWireError(err) || connect.CodeOf(err) != connect.CodeInvalidArgument || !strings.Contains(err.Error(), unknownPrimer) {
+			return nil, err
 		}
 	}
 	inner.Full.Add(1)
-	reply, failure := caller.once(bounded, inner, 0, question)
-	caller.short.Store(failure == nil)
-	return reply, failure
+	reply, err := caller.once(bounded, inner, 0, question)
+	caller.short.Store(err == nil)
+	return reply, err
 }
 
 func (caller *caller[Question, Reply]) once(bounded context.Context, inner *Inner, codec int, question *Question) (*Reply, error) {
 	request := connect.NewRequest(question)
 	request.Header().Set(fleetHeader, inner.Fleet)
-	reply, failure := caller.clients[codec].CallUnary(bounded, request)
-	if failure != nil {
-		return nil, failure
+	reply, err := caller.clients[codec].CallUnary(bounded, request)
+	if err != nil {
+		return nil, err
 	}
 	return reply.Msg, nil
 }
 
 // Serve listens on an address until the context ends, and then lets open
 // requests finish within the grace.
-func Serve(context context.Context, listener net.Listener, handler http.Handler, grace schedule.Microseconds) error {
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler, grace schedule.Microseconds) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 64 << 10}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	select {
-	case failure := <-ended:
-		return mishap.Wrap(failure, mishap.StartFailed, "serve "+listener.Addr().String())
-	case <-context.Done():
+	case err := <-ended:
+		return mishap.Wrap(err, mishap.StartFailed, "serve "+listener.Addr().String())
+	case <-ctx.Done():
 		return stop(server, grace)
 	}
 }
--- a/internal/circuit/outer.go
+++ b/internal/circuit/outer.go
@@ -26,26 +26,26 @@
 func ReadJSON(writer http.ResponseWriter, request *http.Request, most int64, into any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, most))
 	decoder.DisallowUnknownFields()
-	if failure := decoder.Decode(into); failure != nil {
-		return readMishap(failure)
+	if err := decoder.Decode(into); err != nil {
+		return readMishap(err)
 	}
-	if _, failure := decoder.Token(); failure != io.EOF {
+	if _, err := decoder.Token(); err != io.EOF {
 		return mishap.New(mishap.Malformed, "more than one JSON value")
 	}
 	return nil
 }
 
-func readMishap(failure error) error {
+func readMishap(err error) error {
 	var large *http.MaxBytesError
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
 	switch {
-	case errors.As(failure, &large):
-		return mishap.Wrap(failure, mishap.Oversized, "body")
-	case errors.As(failure, &syntax), errors.As(failure, &kind), errors.Is(failure, io.EOF), errors.Is(failure, io.ErrUnexpectedEOF):
-		return mishap.Wrap(failure, mishap.Malformed, "body")
+	case errors.As(err, &large):
+		return mishap.Wrap(err, mishap.Oversized, "body")
+	case errors.As(err, &syntax), errors.As(err, &kind), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return mishap.Wrap(err, mishap.Malformed, "body")
 	}
-	return mishap.Wrap(failure, mishap.UnknownField, "body")
+	return mishap.Wrap(err, mishap.UnknownField, "body")
 }
 
 // WriteJSON answers with a value.
@@ -57,10 +57,10 @@
 
 // WriteDecline answers with a code; retry tells the caller when to come back if it is
 // above zero.
-func WriteDecline(writer http.ResponseWriter, failure error, ending string, retry schedule.Microseconds) {
-	code := mishap.CodeOf(failure, mishap.StartFailed)
+func WriteDecline(writer http.ResponseWriter, err error, ending string, retry schedule.Microseconds) {
+	code := mishap.CodeOf(err, mishap.StartFailed)
 	if retry > 0 {
 		writer.Header().Set("Retry-After", strconv.FormatInt(int64((retry+schedule.Second-1)/schedule.Second), 10))
 	}
-	WriteJSON(writer, code.Status(), Decline{Code: code, Name: code.String(), Text: mishap.Text(failure), Ending: ending, Retry: retry})
+	WriteJSON(writer, code.Status(), Decline{Code: code, Name: code.String(), Text: mishap.Text(err), Ending: ending, Retry: retry})
 }
