--- a/internal/mishap/mishap.go
+++ b/internal/mishap/mishap.go
@@ -42,22 +42,22 @@
 }
 
 // CodeOf finds the code in an error; other receives errors that carry none.
-func CodeOf(failure error, other Code) Code {
-	if failure == nil {
+func CodeOf(err error, other Code) Code {
+	if err == nil {
 		return Fine
 	}
 	var named *Mishap
-	if errors.As(failure, &named) {
+	if errors.As(err, &named) {
 		return named.Code
 	}
 	return other
 }
 
 // Text is the message without the stack.
-func Text(failure error) string {
+func Text(err error) string {
 	var named *Mishap
-	if errors.As(failure, &named) {
+	if errors.As(err, &named) {
 		return named.Error()
 	}
-	return failure.Error()
+	return err.Error()
 }
--- a/internal/mishap/mishap_test.go
+++ b/internal/mishap/mishap_test.go
@@ -11,9 +11,9 @@
 
 // The table in the docs is the table in the code.
 func TestTheDocsListEveryCode(test *testing.T) {
-	text, failure := os.ReadFile("../../docs/codes.md")
-	if failure != nil {
-		test.Fatal(failure)
+	text, err := os.ReadFile("../../docs/codes.md")
+	if err != nil {
+		test.Fatal(err)
 	}
 	for _, entry := range mishap.Table {
 		line := fmt.Sprintf("| %d | %s | %d | %s |", entry.Code, entry.Name, entry.Status, entry.Meaning)
