Name errors err and contexts ctx in internal/order

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed.

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -75,7 +75,7 @@
 	Budget schedule.Microseconds
 	// Post sends an order through the desk's client, which asks the guard at each write.
 	// It may be replaced before the first order is given.
-	Post   func(context context.Context, client *http.Client, order Order, address string) error
+	Post   func(ctx context.Context, client *http.Client, order Order, address string) error
 	clock  *schedule.Clock
 	right  *atomic.Pointer[Right]
 	client *http.Client
@@ -129,11 +129,11 @@
 	bounded, cancel := context.WithTimeout(parent, (desk.Budget / 2).Duration())
 	defer cancel()
 	desk.Sent.Add(1)
-	failure := desk.Post(bounded, desk.client, given.Order, address)
+	err := desk.Post(bounded, desk.client, given.Order, address)
 	desk.lock.Lock()
 	defer desk.lock.Unlock()
-	given.busy, given.acked = false, failure == nil
-	if failure != nil {
+	given.busy, given.acked = false, err == nil
+	if err != nil {
 		desk.Mishaps.Add(1)
 		return
 	}
@@ -151,19 +151,19 @@
 
 func post(bounded context.Context, client *http.Client, order Order, address string) error {
 	body, _ := json.Marshal(order)
-	request, failure := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+address+"/order", bytes.NewReader(body))
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.Garbage, address)
+	request, err := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+address+"/order", bytes.NewReader(body))
+	if err != nil {
+		return mishap.Wrap(err, mishap.Garbage, address)
 	}
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
-	answer, failure := client.Do(request)
-	if failure != nil {
-		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	answer, err := client.Do(request)
+	if err != nil {
+		return mishap.Wrap(err, mishap.CircuitLost, address)
 	}
 	defer answer.Body.Close()
-	if _, failure := io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10)); failure != nil {
-		return mishap.Wrap(failure, mishap.CircuitLost, address)
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, 64<<10)); err != nil {
+		return mishap.Wrap(err, mishap.CircuitLost, address)
 	}
 	if answer.StatusCode != http.StatusOK {
 		return mishap.New(mishap.CircuitLost, "%s answered %d", address, answer.StatusCode)
