Name errors err and contexts ctx in internal/relay

Local variables and parameters only, renamed by their types; nothing that is exported, sent or stored has changed. The package and its tests compile.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -29,8 +29,8 @@
 		}
 		for _, next := range relay.Moves[chart.State] {
 			moved := chart
-			if failure := moved.Move(next); failure != nil {
-				test.Fatal(failure)
+			if err := moved.Move(next); err != nil {
+				test.Fatal(err)
 			}
 			switch {
 			case next == relay.Prefilling:
