--- a/internal/route/check.go
+++ b/internal/route/check.go
@@ -23,8 +23,8 @@
 		if name == "" || route.Name != name {
 			return mishap.New(mishap.ConfigurationInvalid, "routes: name %q", name)
 		}
-		if failure := route.Check(); failure != nil {
-			return failure
+		if err := route.Check(); err != nil {
+			return err
 		}
 		for _, share := range route.Shares {
 			if _, known := book.Services[share.Service]; !known {
