--- a/cmd/coursepass/main.go
+++ b/cmd/coursepass/main.go
@@ -65,9 +65,9 @@
 
 // serve opens a daemon's sockets and runs it until it is stopped.
 func serve(each daemon, place setting.Place, inner setting.Inner) error {
-	listeners, failure := core.Listen(circuit.System, inner.Inner, place.Public)
-	if failure != nil {
-		return failure
+	listeners, err := core.Listen(circuit.System, inner.Inner, place.Public)
+	if err != nil {
+		return err
 	}
 	running, stop := untilStopped()
 	defer stop()
@@ -77,9 +77,9 @@
 // Run runs a core.
 func (command *coreCommand) Run() error {
 	level(command.Level)
-	each, failure := core.New(command.Settings, setting.Incarnation(), circuit.System)
-	if failure != nil {
-		return failure
+	each, err := core.New(command.Settings, setting.Incarnation(), circuit.System)
+	if err != nil {
+		return err
 	}
 	return serve(each, command.Place, command.Inner)
 }
@@ -87,9 +87,9 @@
 // Run runs a router.
 func (command *routerCommand) Run() error {
 	level(command.Level)
-	each, failure := router.New(command.Settings, setting.Incarnation(), circuit.System)
-	if failure != nil {
-		return failure
+	each, err := router.New(command.Settings, setting.Incarnation(), circuit.System)
+	if err != nil {
+		return err
 	}
 	return serve(each, command.Place, command.Inner)
 }
@@ -99,19 +99,19 @@
 	level(command.Level)
 	observer := engine.NewObserver(schedule.Microseconds(command.Lease) * schedule.Millisecond)
 	if command.Settings.Book != "" {
-		book, failure := engine.OpenBook(command.Settings.Book)
-		if failure != nil {
-			return failure
+		book, err := engine.OpenBook(command.Settings.Book)
+		if err != nil {
+			return err
 		}
 		observer.Book = book
 	}
-	each, failure := engine.New(command.Settings, observer, circuit.System)
-	if failure != nil {
-		return failure
+	each, err := engine.New(command.Settings, observer, circuit.System)
+	if err != nil {
+		return err
 	}
-	listener, failure := circuit.System.Listen(command.Address)
-	if failure != nil {
-		return failure
+	listener, err := circuit.System.Listen(command.Address)
+	if err != nil {
+		return err
 	}
 	running, stop := untilStopped()
 	defer stop()
@@ -120,9 +120,9 @@
 
 // Run runs a fleet.
 func (command *fleetCommand) Run() error {
-	whole, failure := fleet.New(command.Settings)
-	if failure != nil {
-		return failure
+	whole, err := fleet.New(command.Settings)
+	if err != nil {
+		return err
 	}
 	running, stop := untilStopped()
 	defer stop()
@@ -136,15 +136,15 @@
 
 // Run runs a load.
 func (command *loadCommand) Run() error {
-	run, failure := load.New(command.Settings, circuit.System)
-	if failure != nil {
-		return failure
+	run, err := load.New(command.Settings, circuit.System)
+	if err != nil {
+		return err
 	}
 	running, stop := untilStopped()
 	defer stop()
-	figures, failure := run.Drive(running)
-	if failure != nil {
-		return failure
+	figures, err := run.Drive(running)
+	if err != nil {
+		return err
 	}
 	figures.Print(os.Stdout, command.JSON)
 	if count := len(figures.Violations); count > 0 {
@@ -174,14 +174,14 @@
 	parser := flags.NewParser(all, flags.HelpFlag|flags.PassDoubleDash)
 	var chosen any
 	parser.CommandHandler = func(command flags.Commander, _ []string) error { return nil }
-	_, failure := parser.Parse()
+	_, err := parser.Parse()
 	var said *flags.Error
-	if errors.As(failure, &said) && said.Type == flags.ErrHelp {
+	if errors.As(err, &said) && said.Type == flags.ErrHelp {
 		fmt.Println(said.Message)
 		return
 	}
-	if failure != nil {
-		fail(mishap.Wrap(failure, mishap.SettingBad, "flags"))
+	if err != nil {
+		fail(mishap.Wrap(err, mishap.SettingBad, "flags"))
 	}
 	byName := map[string]any{
 		"core": &all.Core, "router": &all.Router, "engine": &all.Engine, "fleet": &all.Fleet, "load": &all.Load, "scale": &all.Scale, "apply": &all.Apply,
@@ -192,15 +192,15 @@
 		chosen = map[string]any{"router": &all.Platform.Router, "core": &all.Platform.Core}[parser.Active.Active.Name]
 		level("info")
 	}
-	if failure := setting.ReadFile(parser, settingsOf(chosen), os.Args[1:]); failure != nil {
-		fail(failure)
+	if err := setting.ReadFile(parser, settingsOf(chosen), os.Args[1:]); err != nil {
+		fail(err)
 	}
-	if failure := chosen.(runner).Run(); failure != nil {
-		fail(failure)
+	if err := chosen.(runner).Run(); err != nil {
+		fail(err)
 	}
 }
 
-func fail(failure error) {
-	fmt.Fprintln(os.Stderr, mishap.Text(failure))
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, mishap.Text(err))
 	os.Exit(1)
 }
