--- a/cmd/coursepass-trial/main.go
+++ b/cmd/coursepass-trial/main.go
@@ -23,17 +23,17 @@
 func main() {
 	all := &commands{}
 	parser := flags.NewParser(all, flags.HelpFlag|flags.PassDoubleDash)
-	_, failure := parser.Parse()
+	_, err := parser.Parse()
 	var said *flags.Error
-	if errors.As(failure, &said) && said.Type == flags.ErrHelp {
+	if errors.As(err, &said) && said.Type == flags.ErrHelp {
 		fmt.Println(said.Message)
 		return
 	}
-	if failure == nil {
-		failure = map[string]interface{ Run() error }{"simulate": &all.Simulate, "processes": &all.Processes, "rollout": &all.Rollout, "explore": &all.Explore}[parser.Active.Name].Run()
+	if err == nil {
+		err = map[string]interface{ Run() error }{"simulate": &all.Simulate, "processes": &all.Processes, "rollout": &all.Rollout, "explore": &all.Explore}[parser.Active.Name].Run()
 	}
-	if failure != nil {
-		fmt.Fprintln(os.Stderr, mishap.Text(failure))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, mishap.Text(err))
 		os.Exit(1)
 	}
 }
