--- a/internal/simulation/catchup_test.go
+++ b/internal/simulation/catchup_test.go
@@ -178,7 +178,7 @@
 		routing.Routes[name] = route.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: route.Stream, GiveUp: schedule.Second, Shares: []route.Share{{Service: "s", Weight: 1}},
 		}
-		text := fmt.Sprintf(`{"name":%q,"host":"h","path-prefix":"/%s/","to":[{"service":"s","weight":1}],"give-up-ms":1000,"label":%d}`, name, name, label)
+		text := fmt.Sprintf(`{"name":%q,"host":"h","path-prefix":"/%s/","to":[{"service":"s","weight":1}],"give-up":1000,"label":%d}`, name, name, label)
 		routing.Items["routes"] = append(routing.Items["routes"], configuration.Item{Name: name, Text: text})
 	}
 	return routing
