--- a/internal/compat/additions.go
+++ b/internal/compat/additions.go
@@ -5,6 +5,7 @@
 
 	"coursepass/internal/gossip/peers"
 	"coursepass/internal/state/config"
+	"coursepass/internal/state/pairing"
 	"coursepass/internal/state/route"
 )
 
@@ -51,6 +52,10 @@
 		reflect.TypeFor[route.Service]():     {"Scaling"},
 		reflect.TypeFor[route.ServiceWire](): {"Scaling"},
 	}},
+	{name: "placement", fields: map[reflect.Type][]string{
+		reflect.TypeFor[pairing.Assignment]():     {"PlacementOwners"},
+		reflect.TypeFor[pairing.AssignmentWire](): {"PlacementOwners"},
+	}},
 }
 
 // adds reports whether a field of a struct belongs to the addition.
--- a/internal/compat/calls.go
+++ b/internal/compat/calls.go
@@ -14,6 +14,7 @@
 	"coursepass/internal/controlplane/membership"
 	"coursepass/internal/controlplane/messaging"
 	"coursepass/internal/dataplane/httpapi"
+	"coursepass/internal/dataplane/placement"
 	"coursepass/internal/dataplane/router"
 	"coursepass/internal/gossip"
 	"coursepass/internal/gossip/peers"
@@ -47,6 +48,8 @@
 	"usage-counts-request":       controlapi.UsageCountsRequest{},
 	"usage-counts-answer":        controlapi.UsageCountsResponse{},
 	"engine-suspicion-request":   router.Suspect{},
+	"placement-request":          placement.Query{},
+	"placement-answer":           placement.Answer{},
 	"membership-shuffle":         peers.ShuffleMessage{},
 	"gossip-push-request":        gossip.PushRequest{},
 	"gossip-digest":              gossip.Digest{},
--- a/internal/compat/operations.go
+++ b/internal/compat/operations.go
@@ -56,8 +56,7 @@
 func entrySamples() []Sample {
 	membership := &consensus.Membership{}
 	Fill(membership)
-	operation := &registry.Operation{}
-	Fill(operation)
+	operation := filled(registry.Operation{}).(*registry.Operation)
 	return []Sample{
 		{
 			Label:    "log-entry-bindings",
--- /dev/null
+++ b/internal/controlplane/engineplan/placement_owners.go
@@ -0,0 +1,94 @@
+package engineplan
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+
+	"coursepass/internal/node"
+	"coursepass/internal/state/pairing"
+	"coursepass/internal/state/registry"
+)
+
+// enginesPerOwner is how many engines a placement owner has about: enough for an even load, few enough for
+// one router to place their requests.
+const enginesPerOwner = 32
+
+// PlacementOwners returns the routers that place the requests for a service's live engines: one for each
+// enginesPerOwner engines of a zone, in that zone, or a single one if that gives none. Committed owners stay
+// as long as their routers are active at the same address. A service whose engines don't divide the roles
+// between them has none.
+func PlacementOwners(
+	service string, committed []pairing.PlacementOwner, routers []node.Node, live []registry.Engine,
+) []pairing.PlacementOwner {
+	if !countRoles(live).isSplit() {
+		return nil
+	}
+	enginesByZone := map[string]int{}
+	for _, engine := range live {
+		enginesByZone[engine.Zone]++
+	}
+	var owners []pairing.PlacementOwner
+	for _, zone := range slices.Sorted(maps.Keys(enginesByZone)) {
+		wanted := (enginesByZone[zone] + enginesPerOwner/2) / enginesPerOwner
+		inZone := func(candidate node.Node) bool { return candidate.Zone == zone }
+		owners = append(owners, chooseOwners(service, committed, filterNodes(routers, inZone), wanted)...)
+	}
+	if len(owners) == 0 {
+		return chooseOwners(service, committed, routers, 1)
+	}
+	return owners
+}
+
+func filterNodes(nodes []node.Node, keep func(node.Node) bool) []node.Node {
+	var kept []node.Node
+	for _, candidate := range nodes {
+		if keep(candidate) {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
+
+// chooseOwners returns the wanted number of routers as owners, sorted by name: the committed ones first,
+// then those with the highest score.
+func chooseOwners(
+	service string, committed []pairing.PlacementOwner, routers []node.Node, wanted int,
+) []pairing.PlacementOwner {
+	candidates := make([]pairing.PlacementOwner, 0, len(routers))
+	for _, router := range routers {
+		candidates = append(candidates, pairing.PlacementOwner{
+			Router:  router.Name,
+			Address: router.InternalAddress,
+			Zone:    router.Zone,
+		})
+	}
+	slices.SortFunc(candidates, func(left, right pairing.PlacementOwner) int {
+		isCommitted := func(owner pairing.PlacementOwner) int {
+			if slices.Contains(committed, owner) {
+				return 0
+			}
+			return 1
+		}
+		return cmp.Or(
+			cmp.Compare(isCommitted(left), isCommitted(right)),
+			cmp.Compare(ownerScore(service, right.Router), ownerScore(service, left.Router)),
+			cmp.Compare(left.Router, right.Router),
+		)
+	})
+	chosen := candidates[:min(wanted, len(candidates))]
+	slices.SortFunc(chosen, func(left, right pairing.PlacementOwner) int {
+		return cmp.Compare(left.Router, right.Router)
+	})
+	return chosen
+}
+
+// ownerScore orders the routers, in another way for each service.
+func ownerScore(service, router string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(service))
+	hash.Write([]byte{0})
+	hash.Write([]byte(router))
+	return hash.Sum64()
+}
--- a/internal/controlplane/leadertasks/directory_sync.go
+++ b/internal/controlplane/leadertasks/directory_sync.go
@@ -159,6 +159,7 @@
 	now := l.options.Clock.Now()
 	syncState := l.directorySync
 	routers := l.options.Fleet.ActiveRouters(now)
+	routerNodes := l.options.Fleet.ActiveRouterNodes(now)
 	routersStable := syncState.routerSet.UnchangedFor(now, routers...) >= engineplan.RouterStabilizationWindow
 	syncState.workloads.Record(now, l.options.Fleet.ReportedWork(now))
 	zoneUnavailable := func(zone string) bool { return l.options.Fleet.ZoneUnavailable(&configuration, zone) }
@@ -173,6 +174,7 @@
 		assignment := pairing.AssignAffinityGroups(service, l.options.Address, syncState.term, candidates)
 		assignment.Routers = engineplan.AssignedRouters(committed, routers, routersStable)
 		assignment.ChangingRole = syncState.planner.ChangingNames(live)
+		assignment.PlacementOwners = engineplan.PlacementOwners(service, committed.PlacementOwners, routerNodes, live)
 		if !assignment.Equal(committed) {
 			l.logDraft(assignment, share)
 			proposals.Go(func() { l.commitAssignment(ctx, assignment) })
--- a/internal/controlplane/leadertasks/options.go
+++ b/internal/controlplane/leadertasks/options.go
@@ -7,6 +7,7 @@
 	"coursepass/internal/clock"
 	"coursepass/internal/controlplane/controlapi"
 	"coursepass/internal/enginecommand"
+	"coursepass/internal/node"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/registry"
 	"coursepass/internal/transport"
@@ -32,6 +33,8 @@
 	ReadConfiguration(ctx context.Context) (config.View, bool)
 	// ActiveRouters returns the sorted names of the routers that share the engines' capacity.
 	ActiveRouters(now clock.Microseconds) []string
+	// ActiveRouterNodes returns the same routers with their addresses.
+	ActiveRouterNodes(now clock.Microseconds) []node.Node
 	// ReportedWork returns the cumulative busy times that active routers have reported, by router.
 	ReportedWork(now clock.Microseconds) map[string][]registry.BusyTime
 	// ZoneUnavailable tells whether engines of a zone get no new work.
--- a/internal/controlplane/router_service.go
+++ b/internal/controlplane/router_service.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -46,19 +47,28 @@
 // activeRouters returns the sorted names of the routers that have called lately, and forgets those that have
 // been silent for routerRetention.
 func (s *Server) activeRouters(now clock.Microseconds) []string {
+	var names []string
+	for _, router := range s.activeRouterNodes(now) {
+		names = append(names, router.Name)
+	}
+	return names
+}
+
+// activeRouterNodes returns the same routers, sorted by name.
+func (s *Server) activeRouterNodes(now clock.Microseconds) []node.Node {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	var names []string
+	var routers []node.Node
 	for name, record := range s.routers {
 		switch {
 		case now-record.lastSeen > routerRetention:
 			delete(s.routers, name)
 		case now-record.lastSeen <= routerTimeout:
-			names = append(names, name)
+			routers = append(routers, record.Node)
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.SortFunc(routers, func(left, right node.Node) int { return cmp.Compare(left.Name, right.Name) })
+	return routers
 }
 
 // reportedWork returns the busy times that active routers have reported, by router. They are cumulative.
--- a/internal/controlplane/service_leaders.go
+++ b/internal/controlplane/service_leaders.go
@@ -8,6 +8,7 @@
 	"coursepass/internal/controlplane/capacityorder"
 	"coursepass/internal/controlplane/leadertasks"
 	"coursepass/internal/controlplane/replication"
+	"coursepass/internal/node"
 	"coursepass/internal/platformport"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/registry"
@@ -58,6 +59,11 @@
 // ActiveRouters returns the sorted names of the routers that have called lately.
 func (f fleetView) ActiveRouters(now clock.Microseconds) []string { return f.server.activeRouters(now) }
 
+// ActiveRouterNodes returns the same routers with their addresses.
+func (f fleetView) ActiveRouterNodes(now clock.Microseconds) []node.Node {
+	return f.server.activeRouterNodes(now)
+}
+
 // ReportedWork returns the busy times that active routers have reported, by router.
 func (f fleetView) ReportedWork(now clock.Microseconds) map[string][]registry.BusyTime {
 	return f.server.reportedWork(now)
--- a/internal/dataplane/balancer/attempt_timeout.go
+++ b/internal/dataplane/balancer/attempt_timeout.go
@@ -58,13 +58,22 @@
 	Limit    clock.Microseconds
 }
 
+// AtLeast returns the timeout of a call that is expected to take that long, if that is longer.
+func (a AttemptTimeout) AtLeast(expected clock.Microseconds) AttemptTimeout {
+	if longer := expected - a.Expected; longer > 0 {
+		a.Expected = expected
+		a.Limit += expectedTimeFactor * longer
+	}
+	return a
+}
+
 // EstimateTimeout returns the timeout of a call that is sent to an engine now. The tokens of its
 // prompt must have been added with AddPromptTokens before.
 func (b *Balancer) EstimateTimeout(now clock.Microseconds, incarnation string, phase Phase) AttemptTimeout {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	engine := b.engine(incarnation)
-	tokens, rateShare := engine.queuedPromptTokens, sharedRateShare
+	tokens, rateShare := engine.backlog.total(), sharedRateShare
 	if phase == PhasePrefill {
 		tokens += int(engine.otherRoutersLoad(now) * b.meanPromptTokens)
 		rateShare = dedicatedRateShare
--- a/internal/dataplane/balancer/attempt_timeout_test.go
+++ b/internal/dataplane/balancer/attempt_timeout_test.go
@@ -36,7 +36,7 @@
 	Convey("it allows for what the engine has to prefill before", t, func() {
 		lb, now := newTestBalancer(newEngines(pairing.RoleBoth), pairing.Assignment{}), clock.Second
 		idle := lb.EstimateTimeout(now, engineName(0), balancer.PhasePrefill)
-		lb.AddPromptTokens(engineName(0), 40000)
+		lb.AddPromptTokens(engineName(0), 0, 40000)
 		busy := lb.EstimateTimeout(now, engineName(0), balancer.PhasePrefill)
 		So(busy.Expected-idle.Expected, ShouldBeGreaterThan, 500*clock.Millisecond)
 		So(busy.Limit-idle.Limit, ShouldEqual, 2*(busy.Expected-idle.Expected))
--- a/internal/dataplane/balancer/balancer.go
+++ b/internal/dataplane/balancer/balancer.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// initialPrefillRate, in tokens per millisecond, and initialPromptTokens stand in for
-	// observations that have not been made yet.
+	// initialPrefillRate, in tokens per millisecond, and initialPromptTokens stand in for observations that
+	// have not been made yet.
 	initialPrefillRate  = 40
 	initialPromptTokens = 1500
 	// readmissionWarmup is how long the engines of a zone are treated as warming up after its
@@ -41,6 +41,9 @@
 	prefillRate float64
 	// meanPromptTokens is the observed mean of the uncached tokens of a prefill call.
 	meanPromptTokens float64
+	// prefillModel and decodeTime are learned from what all routers observe.
+	prefillModel *PrefillModel
+	decodeTime   decodeTimeModel
 	// prefillBusyTime and decodeBusyTime are how long this router has kept engines busy.
 	prefillBusyTime clock.Microseconds
 	decodeBusyTime  clock.Microseconds
@@ -58,6 +61,7 @@
 		unexpectedEnds:    map[string]endHistory{},
 		prefillRate:       initialPrefillRate,
 		meanPromptTokens:  initialPromptTokens,
+		prefillModel:      NewPrefillModel(),
 		latencyEstimators: [phaseCount]latencyEstimator{initialLatency, initialLatency},
 	}
 }
--- a/internal/dataplane/balancer/cost.go
+++ b/internal/dataplane/balancer/cost.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "coursepass/internal/clock"
+import (
+	"cmp"
+
+	"coursepass/internal/clock"
+)
 
 const (
 	// millisecondsToMicroseconds converts the result of a rate in tokens per millisecond.
@@ -15,8 +19,6 @@
 
 	// transferOverhead is what a transfer of a KV cache takes regardless of its size.
 	transferOverhead = 22 * clock.Millisecond
-	// firstTokenTime is how long the first token takes once the prompt is computed.
-	firstTokenTime = 16 * clock.Millisecond
 	// duplicatePrefillWeight is how many times its own time it costs to compute a shared prefix that
 	// another engine has cached: it uses prefill time that others wait for, and cache memory.
 	duplicatePrefillWeight = 3
@@ -57,7 +59,7 @@
 
 // occupancy estimates how many requests of all routers an engine has.
 func (b *Balancer) occupancy(now clock.Microseconds, engine *engineState) float64 {
-	return float64(engine.running) + engine.otherRoutersLoad(now)
+	return float64(engine.running+len(engine.expectedEnds)) + engine.otherRoutersLoad(now)
 }
 
 // full reports whether an engine is assumed to have no free slot.
@@ -66,12 +68,13 @@
 }
 
 // distanceCost returns the cost of sending a request body to the zone of an engine.
-func (b *Balancer) distanceCost(engine *engineState, bodyBytes int) clock.Microseconds {
-	if engine.Zone == b.Zone {
+func (b *Balancer) distanceCost(engine *engineState, requirements Requirements) clock.Microseconds {
+	zone := cmp.Or(requirements.Zone, b.Zone)
+	if engine.Zone == zone {
 		return 0
 	}
-	zoneCost := b.CrossZoneCost * clock.Microseconds(bodyBytes) / bytesPerKibibyte
-	if b.Regions.RegionOf(engine.Zone) != b.Regions.RegionOf(b.Zone) {
+	zoneCost := b.CrossZoneCost * clock.Microseconds(requirements.BodyBytes) / bytesPerKibibyte
+	if b.Regions.RegionOf(engine.Zone) != b.Regions.RegionOf(zone) {
 		return crossRegionCostFactor*zoneCost + remoteZoneLatency + b.CrossRegionLatency
 	}
 	return zoneCost + remoteZoneLatency
@@ -84,7 +87,7 @@
 	requirements Requirements,
 ) clock.Microseconds {
 	cost := clock.Microseconds(b.occupancy(now, decoder) * float64(runningRequestCost))
-	cost += b.distanceCost(decoder, requirements.BodyBytes) + decoder.penalty
+	cost += b.distanceCost(decoder, requirements) + decoder.penalty
 	if requirements.NonRetryable {
 		cost += (nonRetryableWeight - 1) * decoder.penalty
 	}
@@ -97,26 +100,35 @@
 // localPrefillCost returns the cost of computing some tokens of a prompt at the decoder itself. All
 // responses that it generates wait meanwhile, each for every chunk of the prompt.
 func (b *Balancer) localPrefillCost(now clock.Microseconds, decoder *engineState, tokens int) clock.Microseconds {
-	backlog := b.prefillTime(decoder.queuedPromptTokens, sharedRateShare)
+	backlog := b.prefillTime(decoder.backlog.total(), sharedRateShare)
 	interference := baseInterference + b.occupancy(now, decoder)
 	prefill := float64(b.prefillTime(tokens, sharedRateShare))
-	return backlog + clock.Microseconds(interference*prefill) + firstTokenTime
+	return backlog + clock.Microseconds(interference*prefill) + b.prefillModel.Fixed()
 }
 
+// prefillWait returns how long a request of some urgency is expected to be queued at a prefiller.
+func (b *Balancer) prefillWait(now clock.Microseconds, prefiller *engineState, urgency int) clock.Microseconds {
+	tokens := prefiller.backlog.ahead(urgency) + int(prefiller.otherRoutersLoad(now)*b.meanPromptTokens)
+	return b.prefillTime(tokens, dedicatedRateShare)
+}
+
+// prefillTokens is how many tokens of a prompt an engine would compute, and how many of these another
+// engine has cached.
+type prefillTokens struct{ uncached, duplicated int }
+
 // prefillCost returns the cost of computing some tokens of a prompt at a prefiller: its queue, the
-// tokens themselves, and the shared ones among them that are computed twice.
+// tokens themselves, and those among them that are computed twice.
 func (b *Balancer) prefillCost(
 	now clock.Microseconds,
 	prefiller *engineState,
 	requirements Requirements,
-	tokens int,
+	tokens prefillTokens,
 ) clock.Microseconds {
-	queuedTokens := float64(prefiller.queuedPromptTokens) + prefiller.otherRoutersLoad(now)*b.meanPromptTokens
-	sharedTokens := max(tokens-unsharedTokens(requirements.Prompt), 0)
-	duplicateCost := b.prefillTime(sharedTokens, dedicatedRateShare) * (duplicatePrefillWeight - 1)
-	return b.prefillTime(tokens+int(queuedTokens), dedicatedRateShare) +
-		firstTokenTime +
-		b.distanceCost(prefiller, requirements.BodyBytes) +
+	duplicateCost := b.prefillTime(tokens.duplicated, dedicatedRateShare) * (duplicatePrefillWeight - 1)
+	return b.prefillWait(now, prefiller, requirements.Urgency) +
+		b.prefillTime(tokens.uncached, dedicatedRateShare) +
+		b.prefillModel.Fixed() +
+		b.distanceCost(prefiller, requirements) +
 		duplicateCost +
 		tieBreakCost(requirements.Key, prefiller) +
 		prefiller.penalty
--- a/internal/dataplane/balancer/eligibility.go
+++ b/internal/dataplane/balancer/eligibility.go
@@ -14,6 +14,10 @@
 type Requirements struct {
 	// Prompt is the prompt's chunks; all but the last may be shared with other requests.
 	Prompt []platformport.PromptChunk
+	// Urgency is that of the request at engines, 0 for the most urgent.
+	Urgency int
+	// Zone is the zone of the router that has the request, empty for that of the balancer.
+	Zone string
 	// BodyBytes is the size of the request in bytes.
 	BodyBytes int
 	// NoSplit forbids prefilling and decoding at two engines.
--- a/internal/dataplane/balancer/engine_state.go
+++ b/internal/dataplane/balancer/engine_state.go
@@ -3,6 +3,7 @@
 import (
 	"coursepass/internal/clock"
 	"coursepass/internal/platformport"
+	"coursepass/internal/state/pairing"
 )
 
 const (
@@ -19,10 +20,12 @@
 // engineState is what a router knows of one incarnation of an engine.
 type engineState struct {
 	platformport.Engine
-	// queuedPromptTokens is how many prompt tokens the engine has yet to compute, running how many
-	// responses it generates, both for this router.
-	queuedPromptTokens int
-	running            int
+	// backlog is how many prompt tokens the engine has yet to compute, running how many responses it
+	// generates, both for this router.
+	backlog promptBacklog
+	running int
+	// expectedEnds is when the runs that an owner has placed are expected to end.
+	expectedEnds []clock.Microseconds
 	// load is what the engine last reported of itself.
 	load           platformport.Load
 	loadReportedAt clock.Microseconds
@@ -51,6 +54,14 @@
 	return &engineState{cachedChunks: map[string]clock.Microseconds{}}
 }
 
+// rateShare returns the part of the prefill rate that the engine reaches.
+func (e *engineState) rateShare() float64 {
+	if e.Role == pairing.RolePrefill {
+		return dedicatedRateShare
+	}
+	return sharedRateShare
+}
+
 // otherRoutersLoad estimates how many requests of other routers the engine has.
 func (e *engineState) otherRoutersLoad(now clock.Microseconds) float64 {
 	age := now - e.loadReportedAt
@@ -89,5 +100,5 @@
 	if e.pendingResponses == 0 {
 		return false
 	}
-	return now-e.lastActivity > timeout+backlogMargin*prefillDuration(e.queuedPromptTokens, prefillRate)
+	return now-e.lastActivity > timeout+backlogMargin*prefillDuration(e.backlog.total(), prefillRate)
 }
--- a/internal/dataplane/balancer/load_tracking.go
+++ b/internal/dataplane/balancer/load_tracking.go
@@ -21,13 +21,12 @@
 	b.engine(incarnation).lastActivity = now
 }
 
-// AddPromptTokens adds to the prompt tokens that an engine has yet to compute for this router; a
-// negative number takes them back.
-func (b *Balancer) AddPromptTokens(incarnation string, tokens int) {
+// AddPromptTokens adds to the prompt tokens that an engine has yet to compute for this router, for a
+// request of some urgency; a negative number takes them back.
+func (b *Balancer) AddPromptTokens(incarnation string, urgency, tokens int) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	engine := b.engine(incarnation)
-	engine.queuedPromptTokens = max(engine.queuedPromptTokens+tokens, 0)
+	b.engine(incarnation).backlog.add(urgency, tokens)
 }
 
 // AddRunning adds delta to the number of responses that an engine generates for this router. If
--- a/internal/dataplane/balancer/options.go
+++ b/internal/dataplane/balancer/options.go
@@ -23,6 +23,9 @@
 	// CrossZoneCost is what sending a kibibyte of a request to another zone costs, in microseconds.
 	// With the default 0 only the latency between zones counts.
 	CrossZoneCost clock.Microseconds
+	// PlacesForAll says that all routers' requests are placed here: what this balancer has not placed at an
+	// engine is not there. The default false stands for a router that knows only its own requests.
+	PlacesForAll bool
 	// CrossRegionLatency is how much longer a response from another region takes, in microseconds.
 	// The default is 0.
 	CrossRegionLatency clock.Microseconds
--- a/internal/dataplane/balancer/outlier_detection.go
+++ b/internal/dataplane/balancer/outlier_detection.go
@@ -26,10 +26,6 @@
 
 	// failureHalfLife is in what time a failure comes to count half.
 	failureHalfLife = 4 * clock.Second
-	// ownFailureWeight is how much a failure that this router has seen counts, peerReportWeight the
-	// report of another router, of which each sends one per second at most.
-	ownFailureWeight = 1
-	peerReportWeight = 1
 	// toleratedFailures is how many failures above the median of the engines cost nothing.
 	toleratedFailures = 1
 	// failurePenalty is what each further one adds to the cost of the engine, maxFailurePenalty the
@@ -40,9 +36,10 @@
 	nonRetryableWeight = 2
 )
 
-// addFailure adds a failure to the decaying score.
-func (e *engineState) addFailure(now clock.Microseconds, weight float64) {
-	e.failureScore = e.decayedFailureScore(now) + weight
+// addFailure adds a failure to the decaying score. One that this router has seen counts as much as the
+// report of another router, of which each sends one per second at most.
+func (e *engineState) addFailure(now clock.Microseconds) {
+	e.failureScore = e.decayedFailureScore(now) + 1
 	e.failureScoreAt = now
 }
 
@@ -57,7 +54,7 @@
 // recordFailure adds a failure and ejects the engine.
 func (e *engineState) recordFailure(now clock.Microseconds) {
 	e.consecutiveFailures++
-	e.addFailure(now, ownFailureWeight)
+	e.addFailure(now)
 	backoff := minEjection << min(e.consecutiveFailures-1, maxEjectionDoublings)
 	e.suspectUntil = now + min(backoff, maxEjection)
 }
@@ -89,7 +86,7 @@
 func (b *Balancer) RecordError(now clock.Microseconds, incarnation string) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.engine(incarnation).addFailure(now, ownFailureWeight)
+	b.engine(incarnation).addFailure(now)
 }
 
 // RecordPeerReport records that an engine did not answer another router. It is ejected unless it
@@ -98,12 +95,24 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	engine := b.engine(incarnation)
-	engine.addFailure(now, peerReportWeight)
+	engine.addFailure(now)
 	if now-engine.lastActivity > recentActivityWindow {
 		engine.suspectUntil = max(engine.suspectUntil, now+peerReportEjection)
 	}
 }
 
+// RecordOverdue records another router's word that an engine has shown nothing for longer than expected.
+// Several routers may tell of the same event: while the engine is ejected it changes nothing.
+func (b *Balancer) RecordOverdue(now clock.Microseconds, incarnation string) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	engine := b.engine(incarnation)
+	if now >= engine.suspectUntil {
+		engine.addFailure(now)
+		engine.suspectUntil = now + peerReportEjection
+	}
+}
+
 // RecordRejection records that an engine rejected a request since it was full.
 func (b *Balancer) RecordRejection(now clock.Microseconds, incarnation string) {
 	b.lock.Lock()
--- a/internal/dataplane/balancer/prompt_cache.go
+++ b/internal/dataplane/balancer/prompt_cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 
 	"coursepass/internal/clock"
 	"coursepass/internal/platformport"
@@ -18,6 +19,8 @@
 	smallPrefixTokens = 1000
 	// smallPrefixShare is the divisor of the number of engines that prefer a small prefix.
 	smallPrefixShare = 8
+	// minSharedChunks is how many chunks a prompt with a shared prefix has at least: the last is its own.
+	minSharedChunks = 2
 )
 
 // hasCached reports whether the engine is assumed to have a prompt chunk in its cache.
@@ -52,18 +55,28 @@
 	return tokens
 }
 
+// anyHasPrefix reports whether any engine is assumed to have the last shared chunk of a prompt in its
+// cache.
+func anyHasPrefix(now clock.Microseconds, engines []*engineState, prompt []platformport.PromptChunk) bool {
+	if len(prompt) < minSharedChunks {
+		return false
+	}
+	sharedPrefix := prompt[len(prompt)-minSharedChunks].Name
+	return slices.ContainsFunc(engines, func(engine *engineState) bool { return engine.hasCached(now, sharedPrefix) })
+}
+
 // preferredEngines returns the engines that should cache a prompt's shared prefix, the same ones at
 // all routers, by rendezvous hashing (Thaler and Ravishankar, 1998). It returns nil for a prompt
 // without a shared prefix.
 func preferredEngines(prompt []platformport.PromptChunk, engines []*engineState) map[*engineState]bool {
-	if len(prompt) < 2 || len(engines) == 0 {
+	if len(prompt) < minSharedChunks || len(engines) == 0 {
 		return nil
 	}
 	count := 1
 	if totalTokens(prompt)-unsharedTokens(prompt) < smallPrefixTokens {
 		count = max(len(engines)/smallPrefixShare, 1)
 	}
-	sharedPrefix := prompt[len(prompt)-2].Name
+	sharedPrefix := prompt[len(prompt)-minSharedChunks].Name
 	preferred := map[*engineState]bool{}
 	for range count {
 		var best *engineState
--- a/internal/dataplane/balancer/selection.go
+++ b/internal/dataplane/balancer/selection.go
@@ -16,11 +16,16 @@
 	Split   bool
 	// TimeToFirstToken is the cost of the placement, an estimate in microseconds.
 	TimeToFirstToken clock.Microseconds
+	// PrefillWait is how long the prefill is expected to be queued, PrefillTime how long it is expected to
+	// take after that. Both are set for split selections only.
+	PrefillWait, PrefillTime clock.Microseconds
 	// UncachedTokens is how many tokens of the prompt have to be computed, as far as is known.
 	UncachedTokens int
 	// UnsharedOnly says that these are no more than the request's own. It is set for split
 	// selections only.
 	UnsharedOnly bool
+	// Shared says that an owner made the selection, which places the requests of all routers.
+	Shared bool
 	// Full says that the decoder has no free slot, as far as is known.
 	Full bool
 }
@@ -74,6 +79,11 @@
 func (b *Balancer) Select(now clock.Microseconds, requirements Requirements) (Selection, bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	return b.selectPlacement(now, requirements)
+}
+
+// selectPlacement is Select for a caller that holds the lock.
+func (b *Balancer) selectPlacement(now clock.Microseconds, requirements Requirements) (Selection, bool) {
 	prefillers, decoders := b.eligible(now, requirements)
 	if len(decoders) == 0 {
 		return Selection{}, false
@@ -86,9 +96,14 @@
 	promptTokens := totalTokens(requirements.Prompt)
 	unshared := unsharedTokens(requirements.Prompt)
 	preferred := preferredEngines(requirements.Prompt, prefillers)
+	firstPrefill := b.PlacesForAll && !anyHasPrefix(now, prefillers, requirements.Prompt)
 	for _, prefiller := range prefillers {
-		tokens := prefiller.uncachedTokens(now, requirements.Prompt, preferred[prefiller])
-		cost := b.prefillCost(now, prefiller, requirements, tokens) + transferOverhead
+		tokens := prefiller.uncachedTokens(now, requirements.Prompt, preferred[prefiller] && !b.PlacesForAll)
+		duplicated := max(tokens-unshared, 0)
+		if firstPrefill && preferred[prefiller] {
+			duplicated = 0
+		}
+		cost := b.prefillCost(now, prefiller, requirements, prefillTokens{tokens, duplicated}) + transferOverhead
 		if cost >= lowestCost {
 			continue
 		}
@@ -107,6 +122,8 @@
 				Decoder:          decoder.Engine,
 				Split:            true,
 				TimeToFirstToken: cost,
+				PrefillWait:      b.prefillWait(now, prefiller, requirements.Urgency),
+				PrefillTime:      b.prefillModel.Duration(tokens, promptTokens-tokens),
 				UncachedTokens:   tokens,
 				UnsharedOnly:     tokens <= unshared,
 				Full:             b.full(now, decoder.engineState),
@@ -155,7 +172,8 @@
 	best, lowestCost := Selection{}, clock.Microseconds(math.MaxInt64)
 	preferred := preferredEngines(requirements.Prompt, decoders)
 	for _, decoder := range candidates {
-		tokens := decoder.uncachedTokens(now, requirements.Prompt, preferred[decoder.engineState])
+		assumeCached := preferred[decoder.engineState] && !b.PlacesForAll
+		tokens := decoder.uncachedTokens(now, requirements.Prompt, assumeCached)
 		cost := decoder.cost + b.localPrefillCost(now, decoder.engineState, tokens)
 		if cost < lowestCost {
 			lowestCost = cost
--- a/internal/dataplane/balancer/selection_test.go
+++ b/internal/dataplane/balancer/selection_test.go
@@ -29,7 +29,7 @@
 	Convey("a queue there sends it elsewhere", t, func() {
 		lb := newTestBalancer(engines, pairing.Assignment{})
 		first, _ := lb.Select(clock.Second, longRequest(1))
-		lb.AddPromptTokens(first.Prefiller.Incarnation, 100_000)
+		lb.AddPromptTokens(first.Prefiller.Incarnation, 0, 100_000)
 		second, _ := lb.Select(clock.Second, longRequest(1))
 		So(second.Prefiller.Incarnation, ShouldNotEqual, first.Prefiller.Incarnation)
 	})
--- /dev/null
+++ b/internal/dataplane/balancer/shared_placement_test.go
@@ -0,0 +1,201 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"coursepass/internal/clock"
+	"coursepass/internal/dataplane/balancer"
+	"coursepass/internal/platformport"
+	"coursepass/internal/state/pairing"
+)
+
+const sharedPlacementTokens = 100
+
+// newOwnerBalancer returns the balancer of a placement owner.
+func newOwnerBalancer(engines []platformport.Engine) *balancer.Balancer {
+	options := testOptions(0)
+	options.PlacesForAll = true
+	owner := balancer.New(options)
+	owner.Update(clock.Second, balancer.View{Service: testService, Engines: engines, RouterCount: 1})
+	return owner
+}
+
+// fourAndFour are four engines of each role.
+func fourAndFour() []platformport.Engine {
+	return newEngines(
+		pairing.RolePrefill, pairing.RolePrefill, pairing.RolePrefill, pairing.RolePrefill,
+		pairing.RoleDecode, pairing.RoleDecode, pairing.RoleDecode, pairing.RoleDecode,
+	)
+}
+
+// unsharedRequest has a prompt that it shares with no other.
+func unsharedRequest(number, tokens int) balancer.Requirements {
+	return balancer.Requirements{
+		Key:    fmt.Sprint(number),
+		Prompt: []platformport.PromptChunk{{Name: fmt.Sprint("own-", number), Tokens: tokens}},
+	}
+}
+
+// Requests of many routers that come at once: routers that know only their own choose some engines
+// twice, an owner that places all chooses each engine once.
+func TestPlace_KnowsTheRequestsOfAllRouters(t *testing.T) {
+	owner := newOwnerBalancer(fourAndFour())
+	placed, alone := map[string]int{}, map[string]int{}
+	for number := range 4 {
+		selection, ok := owner.Place(clock.Second, unsharedRequest(number, 4000), sharedPlacementTokens)
+		if !ok || !selection.Split {
+			t.Fatalf("%+v %v", selection, ok)
+		}
+		if selection.PrefillWait != 0 {
+			t.Errorf("a request is expected to wait for %d µs beside engines without work", selection.PrefillWait)
+		}
+		placed[selection.Prefiller.Incarnation]++
+		blind := balancer.New(testOptions(number))
+		blind.Update(clock.Second, balancer.View{Service: testService, Engines: fourAndFour(), RouterCount: 4})
+		selection, _ = blind.Select(clock.Second, unsharedRequest(number, 4000))
+		alone[selection.Prefiller.Incarnation]++
+	}
+	if len(placed) != 4 {
+		t.Errorf("the owner chose %v", placed)
+	}
+	if len(alone) == 4 {
+		t.Errorf("routers that know nothing of each other chose %v: the comparison shows nothing", alone)
+	}
+}
+
+func TestPlace_ForgetsWhatHasEnded(t *testing.T) {
+	owner := newOwnerBalancer(newEngines(pairing.RolePrefill, pairing.RoleDecode))
+	now := clock.Second
+	first, _ := owner.Place(now, unsharedRequest(1, 4000), sharedPlacementTokens)
+	second, _ := owner.Place(now, unsharedRequest(2, 4000), sharedPlacementTokens)
+	if first.PrefillWait != 0 || second.PrefillWait < 50*clock.Millisecond {
+		t.Errorf("waits %d and %d µs", first.PrefillWait, second.PrefillWait)
+	}
+	third, _ := owner.Place(now+second.PrefillWait/2, unsharedRequest(3, 4000), sharedPlacementTokens)
+	if third.PrefillWait <= second.PrefillWait || third.PrefillWait >= 2*second.PrefillWait {
+		t.Errorf("waits %d µs and, half of that later, %d µs", second.PrefillWait, third.PrefillWait)
+	}
+	last, _ := owner.Place(now+10*clock.Second, unsharedRequest(4, 4000), sharedPlacementTokens)
+	if last.PrefillWait != 0 {
+		t.Errorf("after ten seconds a wait of %d µs", last.PrefillWait)
+	}
+}
+
+func TestPlace_DeclinesWhileNoDecoderHasAFreeSlot(t *testing.T) {
+	owner := newOwnerBalancer(newEngines(pairing.RolePrefill, pairing.RoleDecode))
+	placed := 0
+	for number := range 20 {
+		if _, ok := owner.Place(clock.Second, unsharedRequest(number, 100), sharedPlacementTokens); ok {
+			placed++
+		}
+	}
+	if placed != 8 {
+		t.Errorf("%d requests placed at one decoder with 8 slots", placed)
+	}
+	if _, ok := owner.Place(120*clock.Second, unsharedRequest(99, 100), sharedPlacementTokens); !ok {
+		t.Error("nothing is placed once all has ended")
+	}
+}
+
+func TestPlace_UrgentRequestsPassOthers(t *testing.T) {
+	owner := newOwnerBalancer(newEngines(pairing.RolePrefill, pairing.RoleDecode))
+	place := func(number, urgency int) clock.Microseconds {
+		requirements := unsharedRequest(number, 8000)
+		requirements.Urgency = urgency
+		selection, _ := owner.Place(clock.Second, requirements, sharedPlacementTokens)
+		return selection.PrefillWait
+	}
+	place(1, 4)
+	place(2, 4)
+	urgent, patient := place(3, 1), place(4, 4)
+	if urgent*4 > patient {
+		t.Errorf("the urgent request waits for %d µs, the other for %d µs", urgent, patient)
+	}
+}
+
+// A prefix is read by one engine, and later requests with it find it there.
+func TestPlace_PrefixStaysWhereItWasRead(t *testing.T) {
+	owner := newOwnerBalancer(fourAndFour())
+	first, _ := owner.Place(clock.Second, longRequest(1), sharedPlacementTokens)
+	if first.UncachedTokens != 8000 {
+		t.Errorf("%d tokens are to be computed of a prompt that nobody has read", first.UncachedTokens)
+	}
+	for number := range 5 {
+		now := clock.Second * clock.Microseconds(number+2)
+		later, _ := owner.Place(now, longRequest(number), sharedPlacementTokens)
+		if later.Prefiller.Incarnation != first.Prefiller.Incarnation || later.UncachedTokens != 2000 {
+			t.Errorf("%+v", later)
+		}
+	}
+}
+
+func TestPlace_AvoidsOverdueEngines(t *testing.T) {
+	owner := newOwnerBalancer(fourAndFour())
+	first, _ := owner.Place(clock.Second, longRequest(1), sharedPlacementTokens)
+	for range 10 {
+		owner.RecordOverdue(2*clock.Second, first.Prefiller.Incarnation)
+	}
+	second, _ := owner.Place(2*clock.Second, longRequest(2), sharedPlacementTokens)
+	if second.Prefiller.Incarnation == first.Prefiller.Incarnation {
+		t.Error("a request is placed at an engine that was just overdue")
+	}
+	third, _ := owner.Place(4*clock.Second, unsharedRequest(3, 4000), sharedPlacementTokens)
+	if third.Prefiller.Incarnation == "" {
+		t.Errorf("%+v", third)
+	}
+}
+
+func TestResolve_RejectsWhatTheRouterMayNotUse(t *testing.T) {
+	engines := fourAndFour()
+	engines[1].Draining = true
+	groups := map[string]string{}
+	for index, engine := range engines {
+		groups[engine.Incarnation] = fmt.Sprint(index / 7)
+	}
+	lb := newTestBalancer(engines, pairing.Assignment{
+		AffinityGroups: groups,
+		ChangingRole:   []string{engineName(2)},
+	})
+	lb.RecordFailure(clock.Second, engineName(5))
+	excluded := balancer.Requirements{ExcludedEngines: map[string]bool{engineName(3): true}}
+	for _, testCase := range []struct {
+		name               string
+		prefiller, decoder int
+		want               bool
+	}{
+		{"both may be used", 0, 4, true},
+		{"a draining prefiller", 1, 4, false},
+		{"one that changes its role", 2, 4, false},
+		{"one that is excluded", 3, 4, false},
+		{"a decoder that has just failed", 0, 5, false},
+		{"a decoder of another group", 0, 7, false},
+		{"roles the wrong way round", 4, 0, false},
+		{"an engine that is not listed", 0, 99, false},
+	} {
+		now := clock.Second + clock.Millisecond
+		_, ok := lb.Resolve(now, excluded, engineName(testCase.prefiller), engineName(testCase.decoder))
+		if ok != testCase.want {
+			t.Errorf("%s: %v", testCase.name, ok)
+		}
+	}
+	selection, ok := lb.Resolve(clock.Second, balancer.Requirements{}, "", engineName(4))
+	if !ok || selection.Split || selection.Decoder.Incarnation != engineName(4) {
+		t.Errorf("a decoder that prefills by itself: %+v", selection)
+	}
+	if _, ok := lb.Resolve(clock.Second, balancer.Requirements{}, "", engineName(0)); ok {
+		t.Error("a prefiller is to decode")
+	}
+}
+
+func TestObserve_IgnoresSamplesOutOfBounds(t *testing.T) {
+	owner := newOwnerBalancer(fourAndFour())
+	before := owner.PrefillCoefficients()
+	owner.Observe(
+		[]balancer.PrefillSample{{Tokens: 1 << 30, Elapsed: 1}, {Tokens: -5, Elapsed: 1}, {Tokens: 5, Elapsed: 1 << 60}},
+		[]balancer.DecodeSample{{MaxTokens: -1, Elapsed: 1}, {MaxTokens: 1 << 30, Elapsed: 1}, {MaxTokens: 1, Elapsed: -1}},
+	)
+	if owner.PrefillCoefficients() != before {
+		t.Errorf("%v, before %v", owner.PrefillCoefficients(), before)
+	}
+}
--- a/internal/dataplane/balancer/work_tracking.go
+++ b/internal/dataplane/balancer/work_tracking.go
@@ -27,6 +27,8 @@
 // FinishedPrefill describes a prefill call that has ended.
 type FinishedPrefill struct {
 	Prompt []platformport.PromptChunk
+	// Urgency is that of the request.
+	Urgency int
 	// UncachedTokens is how many tokens of the prompt the engine was expected to compute.
 	UncachedTokens int
 	// UnsharedOnly says that these are no more than the request's own tokens, so that the engine
@@ -42,7 +44,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	engine := b.engine(incarnation)
-	engine.queuedPromptTokens = max(engine.queuedPromptTokens-prefill.UncachedTokens, 0)
+	engine.backlog.add(prefill.Urgency, -prefill.UncachedTokens)
 	if prefill.Elapsed == 0 {
 		return
 	}
@@ -50,7 +52,7 @@
 	tokens := float64(prefill.UncachedTokens)
 	b.meanPromptTokens += (tokens - b.meanPromptTokens) / meanPromptSmoothing
 	b.prefillBusyTime += b.prefillTime(prefill.UncachedTokens, dedicatedRateShare)
-	computeTime := prefill.Elapsed - firstTokenTime
+	computeTime := prefill.Elapsed - b.prefillModel.Fixed()
 	if prefill.UnsharedOnly && prefill.UncachedTokens > minRateSampleTokens && computeTime > clock.Millisecond {
 		b.observePrefillRate(tokens / (float64(computeTime) / float64(clock.Millisecond)))
 	}
--- /dev/null
+++ b/internal/dataplane/placement/main_test.go
@@ -0,0 +1,9 @@
+package placement_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/dataplane/proxy/attempt.go
+++ b/internal/dataplane/proxy/attempt.go
@@ -33,6 +33,7 @@
 // attempt sends the request once to the selected engines.
 func (f *forwardedRequest) attempt(ctx context.Context, selection balancer.Selection) attemptOutcome {
 	f.mustTransition(lifecycle.StateMatched)
+	f.timing.selection = selection
 	if !f.payForArrival() {
 		f.resetForRetry(f.headWritten)
 		return outcomeNoRetryToken
--- a/internal/dataplane/proxy/counters.go
+++ b/internal/dataplane/proxy/counters.go
@@ -28,6 +28,10 @@
 	// Split counts runs whose prompt another engine prefilled, Unsplit all others.
 	Split   atomic.Int64
 	Unsplit atomic.Int64
+	// PlacedByOwner counts selections of engines that a placement owner made, PlacedAlone those of requests
+	// with a prompt that this router made by itself.
+	PlacedByOwner atomic.Int64
+	PlacedAlone   atomic.Int64
 	// Retries counts requests sent again after they may have run, Resumed streams that another
 	// engine continued.
 	Retries atomic.Int64
@@ -73,10 +77,16 @@
 		"freed":          p.KVReleased.Load(),
 		"repeats-spent":  p.RetryBudgetExhausted.Load(),
 		"left":           p.Canceled.Load(),
+
+		"placed-by-owner":    p.PlacedByOwner.Load(),
+		"placed-alone":       p.PlacedAlone.Load(),
+		"owned-engines":      p.placements.ownedEngineCount(),
+		"migrated":           p.Migrated.Load(),
+		"migrations-aborted": p.MigrationsAborted.Load(),
 	}
 }
 
 // Collectors returns the proxy's Prometheus metrics.
 func (p *Proxy) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{p.startLatency}
+	return append(p.timing.collectors(), p.startLatency, p.placements.results)
 }
--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -62,7 +62,9 @@
 	ctx, cancel := context.WithTimeout(parent, (forwarded.deadline - forwarded.startedAt).Duration())
 	defer cancel()
 	defer func() { p.InvalidTransitions.Add(forwarded.invalidTransitions) }()
-	return forwarded.run(ctx)
+	completed := forwarded.run(ctx)
+	forwarded.recordTiming(completed)
+	return completed
 }
 
 // selectService distributes a route's requests over its services by their weights, by a hash of
@@ -92,7 +94,9 @@
 func (f *forwardedRequest) run(ctx context.Context) bool {
 	f.mustTransition(lifecycle.StateQueued)
 	for {
+		queuedAt := f.now()
 		selection, ok := f.selectOrQueue(ctx)
+		f.timing.add(phaseQueue, f.now()-queuedAt)
 		if !ok {
 			f.proxy.NoEngine.Add(1)
 			return f.reject(errcode.NoEngine, retryAfterShort)
@@ -111,7 +115,7 @@
 // them are full. It reports whether there is an engine to send the request to.
 func (f *forwardedRequest) selectOrQueue(ctx context.Context) (balancer.Selection, bool) {
 	for {
-		selection, ok := f.selectEngines()
+		selection, ok := f.selectEngines(ctx)
 		if ok && (f.queueingOver || !selection.Full) {
 			return selection, true
 		}
--- a/internal/dataplane/proxy/forwarded_request.go
+++ b/internal/dataplane/proxy/forwarded_request.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+
 	"coursepass/internal/clock"
 	"coursepass/internal/dataplane/balancer"
 	"coursepass/internal/platformport"
@@ -34,6 +36,8 @@
 	// but the first that an engine accepted.
 	attempts     int
 	retryAccount retryAccount
+	// timing is where the request's time went.
+	timing requestTiming
 	// allowSecondPrefill permits one more prefill call, at another engine.
 	allowSecondPrefill bool
 	// queueingOver is set once the request has been queued for as long as it may.
@@ -87,13 +91,17 @@
 
 func (f *forwardedRequest) now() clock.Microseconds { return f.proxy.clock.Now() }
 
-// selectEngines asks the load balancer for the best engines. It reports false if there are none,
-// also because all have failed the request.
-func (f *forwardedRequest) selectEngines() (balancer.Selection, bool) {
+// selectEngines asks the placement owner for the best engines, or else the load balancer. It reports false
+// if there are none, also because all have failed the request.
+func (f *forwardedRequest) selectEngines(ctx context.Context) (balancer.Selection, bool) {
 	if f.balancer == nil {
 		return balancer.Selection{}, false
 	}
-	return f.balancer.Select(f.now(), f.requirements())
+	requirements := f.requirements()
+	if selection, placed := f.place(ctx, requirements); placed {
+		return selection, true
+	}
+	return f.balancer.Select(f.now(), requirements)
 }
 
 // requirements returns what the next attempt needs of its engines.
@@ -112,6 +120,7 @@
 	prefillUsedUp := f.prefillAttempts > 0 && !f.allowSecondPrefill
 	return balancer.Requirements{
 		Prompt:          f.request.Prompt,
+		Urgency:         f.urgency(),
 		BodyBytes:       len(f.request.Body),
 		NoSplit:         prefillUsedUp || len(f.request.Prompt) == 0,
 		NonRetryable:    !f.route.IsRetryable(),
--- a/internal/dataplane/proxy/generate.go
+++ b/internal/dataplane/proxy/generate.go
@@ -34,7 +34,7 @@
 		f.balancer.Release(decoder.Incarnation)
 	})
 	defer finish()
-	f.balancer.AddPromptTokens(decoder.Incarnation, prefillTokens)
+	f.balancer.AddPromptTokens(decoder.Incarnation, f.urgency(), prefillTokens)
 	f.RecordSend()
 	estimate := f.balancer.EstimateTimeout(startedAt, decoder.Incarnation, balancer.PhaseDecode)
 	mayCancel := f.route.IsRetryable() && f.attempts < f.route.MaxAttempts
@@ -43,8 +43,9 @@
 	// The outcome says all that is needed of the error.
 	response, outcome, _ := f.proxy.engineClient.Generate(attemptCtx, attempt)
 	now := f.now()
-	f.balancer.AddPromptTokens(decoder.Incarnation, -prefillTokens)
+	f.balancer.AddPromptTokens(decoder.Incarnation, f.urgency(), -prefillTokens)
 	if outcome != platformport.OutcomeAnswered {
+		f.timing.add(phaseFailedCalls, now-startedAt)
 		if selection.Split && outcome != platformport.OutcomeUnknown {
 			f.releaseKV(ctx, selection.Prefiller.Address, attempt.KVSource)
 		}
@@ -53,6 +54,7 @@
 		f.recordFailedCall(ctx, now, failedCall{decoder.Incarnation, outcome, response.Busy, timedOut})
 		return f.failedRun(ctx, outcome)
 	}
+	f.timing.add(phaseFirstToken, now-startedAt)
 	f.balancer.RecordResponse(now, decoder.Incarnation, response.Load)
 	f.balancer.ObserveLatency(balancer.PhaseDecode, estimate, now-startedAt)
 	body := response.Body
--- a/internal/dataplane/proxy/migration.go
+++ b/internal/dataplane/proxy/migration.go
@@ -39,7 +39,7 @@
 	if f.attempts >= f.route.MaxAttempts || !f.proxy.beginMigration(incarnation) {
 		return outcomeEnded, false
 	}
-	selection, ok := f.selectEngines()
+	selection, ok := f.selectEngines(ctx)
 	if !ok || selection.Full || f.exceedsGap(selection, call.decoder) || !f.acquireRetry() {
 		f.abortMigration(incarnation)
 		return outcomeEnded, false
--- a/internal/dataplane/proxy/options.go
+++ b/internal/dataplane/proxy/options.go
@@ -11,6 +11,9 @@
 	// RetryBurst is how many earned retries the routers of the fleet may save up together, in
 	// retries. The default 0 lets each router save up a single one.
 	RetryBurst float64
+	// SlowRequestsPerSecond is how many requests that were late or not served are logged each second, in
+	// lines per second. The default 0 logs none.
+	SlowRequestsPerSecond float64
 	// Usage, if set, is told of each request that an engine has begun.
 	Usage UsageRecorder
 }
--- /dev/null
+++ b/internal/dataplane/proxy/placement.go
@@ -0,0 +1,399 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"coursepass/internal/clock"
+	"coursepass/internal/dataplane/balancer"
+	"coursepass/internal/dataplane/placement"
+	"coursepass/internal/errcode"
+	"coursepass/internal/platformport"
+	"coursepass/internal/state/pairing"
+)
+
+const (
+	// placementTimeout is how long a placement owner may take to answer: much longer than a healthy one
+	// takes, and much less than a blind choice costs at a busy engine.
+	placementTimeout = 30 * clock.Millisecond
+	// overdueReportTime is how long queries report that an engine was overdue.
+	overdueReportTime = 300 * clock.Millisecond
+	// maxOverdue bounds the overdue engines that are remembered.
+	maxOverdue = 32
+	// maxSampledWait is up to which expected wait a prefill call counts as one that found no queue.
+	maxSampledWait = clock.Millisecond
+)
+
+// Placer asks a placement owner, which is another router.
+type Placer interface {
+	AskPlacement(
+		ctx context.Context, owner pairing.PlacementOwner, query *placement.Query,
+	) (*placement.Answer, error)
+}
+
+// placementResult is what became of the attempt to have a request placed by an owner.
+type placementResult string
+
+// The results. With any but placementPlaced the router decides alone.
+const (
+	placementPlaced placementResult = "placed"
+	// placementUnsuited: the request has no prompt to prefill, or may use some regions only.
+	placementUnsuited placementResult = "unsuited"
+	placementNoOwner  placementResult = "no_owner"
+	// placementBackoff: the owner did not answer lately.
+	placementBackoff   placementResult = "backoff"
+	placementNoAnswer  placementResult = "no_answer"
+	placementMalformed placementResult = "malformed"
+	// placementDeclined: the owner has no engine with a free slot.
+	placementDeclined placementResult = "declined"
+	// placementUnusable: this router knows of a reason against the placement.
+	placementUnusable placementResult = "unusable"
+)
+
+// placementState is a router's part in the placement of requests, as one that asks and as an owner.
+type placementState struct {
+	health placement.OwnerHealth
+	// results counts what became of requests, by placementResult.
+	results *prometheus.CounterVec
+	// lock guards the fields below.
+	lock sync.Mutex
+	// ownerships are by service.
+	ownerships map[string]*placement.Ownership
+	// owned are the balancers of the engines that this router owns, by service.
+	owned map[string]*balancer.Balancer
+	// ownedEngines counts these engines, by service.
+	ownedEngines map[string]int
+	// observed are what was seen of engines and no owner has been told yet, by service.
+	observed map[string]*observations
+	// malformedLogged is set once a malformed answer was logged.
+	malformedLogged bool
+}
+
+// observations are what a router has seen of a service's engines, for the next owner that it asks.
+type observations struct {
+	prefills []placement.PrefillSample
+	decodes  []placement.DecodeSample
+	// overdue is until when an incarnation is reported as overdue.
+	overdue map[string]clock.Microseconds
+}
+
+// newPlacementState returns the state of a router that knows no owners and owns no engines.
+func newPlacementState() placementState {
+	return placementState{
+		results: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "coursepass_placements_total",
+			Help: "Selections of engines, by whether a placement owner made them and else why not.",
+		}, []string{"result"}),
+		ownerships: map[string]*placement.Ownership{},
+		owned:      map[string]*balancer.Balancer{},
+		observed:   map[string]*observations{},
+
+		ownedEngines: map[string]int{},
+	}
+}
+
+// updateOwnership replaces the division of a service's engines, and the engines that this router owns.
+func (p *Proxy) updateOwnership(now clock.Microseconds, service string, view balancer.View) {
+	ownership := placement.NewOwnership(view.Assignment.PlacementOwners, view.Engines)
+	state := &p.placements
+	state.lock.Lock()
+	defer state.lock.Unlock()
+	state.ownerships[service] = ownership
+	engines := ownership.EnginesOf(p.Router)
+	state.ownedEngines[service] = len(engines)
+	if len(engines) == 0 {
+		delete(state.owned, service)
+		return
+	}
+	if state.owned[service] == nil {
+		options := p.Options.Options
+		options.PlacesForAll = true
+		state.owned[service] = balancer.New(options)
+	}
+	view.Engines, view.RouterCount = engines, 1
+	state.owned[service].Update(now, view)
+}
+
+// ownedBalancer returns the balancer of the engines of a service that this router owns, nil if it owns
+// none.
+func (s *placementState) ownedBalancer(service string) *balancer.Balancer {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.owned[service]
+}
+
+// ownedEngineCount returns how many engines this router owns.
+func (s *placementState) ownedEngineCount() int64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	count := int64(0)
+	for _, engines := range s.ownedEngines {
+		count += int64(engines)
+	}
+	return count
+}
+
+// ownerFor returns the owner that places a request.
+func (s *placementState) ownerFor(
+	service, zone string, request *platformport.Request,
+) (pairing.PlacementOwner, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	ownership := s.ownerships[service]
+	if ownership == nil {
+		return pairing.PlacementOwner{}, false
+	}
+	return ownership.OwnerFor(zone, request.RequestID, request.Prompt)
+}
+
+// Place answers another router's query for a placement at engines that this router owns.
+func (p *Proxy) Place(query *placement.Query) (*placement.Answer, error) {
+	if err := query.Check(); err != nil {
+		return nil, err
+	}
+	owned := p.placements.ownedBalancer(query.Service)
+	if owned == nil {
+		return &placement.Answer{}, nil
+	}
+	now := p.clock.Now()
+	for _, incarnation := range query.Overdue {
+		owned.RecordOverdue(now, incarnation)
+	}
+	owned.Observe(samplesOf(query))
+	selection, placed := owned.Place(now, requirementsOf(query), query.MaxTokens)
+	if !placed {
+		return &placement.Answer{}, nil
+	}
+	coefficients := owned.PrefillCoefficients()
+	return &placement.Answer{
+		Placed:           true,
+		Prefiller:        selection.Prefiller.Incarnation,
+		Decoder:          selection.Decoder.Incarnation,
+		UncachedTokens:   selection.UncachedTokens,
+		WaitMicros:       int64(selection.PrefillWait),
+		PrefillMicros:    int64(selection.PrefillTime),
+		FirstTokenMicros: int64(selection.TimeToFirstToken),
+		PrefillTerms:     coefficients[:],
+	}, nil
+}
+
+// requirementsOf returns what the request of a query needs of its engines.
+func requirementsOf(query *placement.Query) balancer.Requirements {
+	requirements := balancer.Requirements{
+		BodyBytes:       query.BodyBytes,
+		Urgency:         query.Urgency,
+		Zone:            query.Zone,
+		NonRetryable:    query.NonRetryable,
+		Key:             query.Key,
+		ExcludedEngines: map[string]bool{},
+	}
+	for _, chunk := range query.Prompt {
+		requirements.Prompt = append(requirements.Prompt, platformport.PromptChunk{Name: chunk.Name, Tokens: chunk.Tokens})
+	}
+	for _, incarnation := range query.Excluded {
+		requirements.ExcludedEngines[incarnation] = true
+	}
+	return requirements
+}
+
+// samplesOf returns what a query tells of engines.
+func samplesOf(query *placement.Query) ([]balancer.PrefillSample, []balancer.DecodeSample) {
+	var prefills []balancer.PrefillSample
+	for _, sample := range query.Prefills {
+		prefills = append(prefills, balancer.PrefillSample{
+			Tokens:  sample.Tokens,
+			Cached:  sample.Cached,
+			Elapsed: clock.Microseconds(sample.ElapsedMicros),
+		})
+	}
+	var decodes []balancer.DecodeSample
+	for _, sample := range query.Decodes {
+		elapsed := clock.Microseconds(sample.ElapsedMicros)
+		decodes = append(decodes, balancer.DecodeSample{MaxTokens: sample.MaxTokens, Elapsed: elapsed})
+	}
+	return prefills, decodes
+}
+
+// place has an owner select the engines. It reports false if this router has to decide alone.
+func (f *forwardedRequest) place(
+	ctx context.Context, requirements balancer.Requirements,
+) (balancer.Selection, bool) {
+	selection, result := f.askOwner(ctx, requirements)
+	f.proxy.placements.results.WithLabelValues(string(result)).Inc()
+	switch result {
+	case placementPlaced:
+		f.proxy.PlacedByOwner.Add(1)
+	case placementUnsuited:
+	default:
+		f.proxy.PlacedAlone.Add(1)
+	}
+	return selection, result == placementPlaced
+}
+
+// askOwner asks the owner for a placement, and checks it.
+func (f *forwardedRequest) askOwner(
+	ctx context.Context, requirements balancer.Requirements,
+) (balancer.Selection, placementResult) {
+	bound := len(requirements.ClosedRegions) > 0 || len(requirements.AllowedRegions) > 0
+	if requirements.NoSplit || bound {
+		return balancer.Selection{}, placementUnsuited
+	}
+	owner, ok := f.proxy.placements.ownerFor(f.service, f.proxy.Zone, &f.request)
+	if !ok {
+		return balancer.Selection{}, placementNoOwner
+	}
+	answer, result := f.proxy.queryOwner(ctx, owner, f.placementQuery(requirements))
+	if result != placementPlaced {
+		return balancer.Selection{}, result
+	}
+	selection, usable := f.balancer.Resolve(f.now(), requirements, answer.Prefiller, answer.Decoder)
+	if !usable {
+		return balancer.Selection{}, placementUnusable
+	}
+	f.balancer.AdoptPrefillCoefficients([placement.PrefillTermCount]float64(answer.PrefillTerms))
+	selection.UncachedTokens = answer.UncachedTokens
+	selection.UnsharedOnly = selection.Split && answer.UncachedTokens <= ownTokens(requirements.Prompt)
+	selection.TimeToFirstToken = clock.Microseconds(answer.FirstTokenMicros)
+	if selection.Split {
+		selection.PrefillWait = clock.Microseconds(answer.WaitMicros)
+		selection.PrefillTime = clock.Microseconds(answer.PrefillMicros)
+	}
+	return selection, placementPlaced
+}
+
+// ownTokens returns the tokens of the last chunk of a prompt, which no other request shares.
+func ownTokens(prompt []platformport.PromptChunk) int {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return prompt[len(prompt)-1].Tokens
+}
+
+// placementQuery is the query for the request's next attempt.
+func (f *forwardedRequest) placementQuery(requirements balancer.Requirements) *placement.Query {
+	query := &placement.Query{
+		Router:       f.proxy.Router,
+		Zone:         f.proxy.Zone,
+		Service:      f.service,
+		Key:          requirements.Key,
+		BodyBytes:    requirements.BodyBytes,
+		MaxTokens:    f.request.MaxTokens,
+		Urgency:      requirements.Urgency,
+		NonRetryable: requirements.NonRetryable,
+	}
+	for _, chunk := range requirements.Prompt {
+		query.Prompt = append(query.Prompt, placement.Chunk{Name: chunk.Name, Tokens: chunk.Tokens})
+	}
+	for incarnation := range requirements.ExcludedEngines {
+		query.Excluded = append(query.Excluded, incarnation)
+	}
+	f.proxy.placements.takeObservations(f.now(), f.service, query)
+	return query
+}
+
+// queryOwner asks an owner, which may be this router itself.
+func (p *Proxy) queryOwner(
+	parent context.Context, owner pairing.PlacementOwner, query *placement.Query,
+) (*placement.Answer, placementResult) {
+	state := &p.placements
+	var answer *placement.Answer
+	var err error
+	switch {
+	case owner.Router == p.Router:
+		answer, err = p.Place(query)
+	case p.Placer == nil:
+		return nil, placementNoOwner
+	case !state.health.Allow(p.clock.Now(), owner.Address):
+		return nil, placementBackoff
+	default:
+		ctx, cancel := context.WithTimeout(parent, placementTimeout.Duration())
+		defer cancel()
+		if answer, err = p.Placer.AskPlacement(ctx, owner, query); err != nil {
+			if parent.Err() == nil {
+				state.health.RecordFailure(p.clock.Now(), owner.Address)
+			}
+			return nil, placementNoAnswer
+		}
+		state.health.RecordAnswer(owner.Address)
+	}
+	if err == nil {
+		err = answer.Check()
+	}
+	if err != nil {
+		state.logMalformed(owner, err)
+		return nil, placementMalformed
+	}
+	if !answer.Placed {
+		return nil, placementDeclined
+	}
+	return answer, placementPlaced
+}
+
+// logMalformed logs the first malformed message.
+func (s *placementState) logMalformed(owner pairing.PlacementOwner, err error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.malformedLogged {
+		return
+	}
+	s.malformedLogged = true
+	log.Warn().Str("owner", owner.Router).Str("code", errcode.CodeOf(err, errcode.MalformedMessage).String()).
+		Err(err).Msg("malformed placement, further ones are only counted")
+}
+
+// observationsOf returns what was seen of a service's engines. The caller holds the lock.
+func (s *placementState) observationsOf(service string) *observations {
+	seen := s.observed[service]
+	if seen == nil {
+		seen = &observations{overdue: map[string]clock.Microseconds{}}
+		s.observed[service] = seen
+	}
+	return seen
+}
+
+// takeObservations moves what was seen of a service's engines into a query. Overdue engines are reported to
+// all owners that are asked within overdueReportTime.
+func (s *placementState) takeObservations(now clock.Microseconds, service string, query *placement.Query) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	seen := s.observationsOf(service)
+	query.Prefills, query.Decodes = seen.prefills, seen.decodes
+	seen.prefills, seen.decodes = nil, nil
+	for incarnation, until := range seen.overdue {
+		if now >= until {
+			delete(seen.overdue, incarnation)
+			continue
+		}
+		query.Overdue = append(query.Overdue, incarnation)
+	}
+}
+
+// recordPrefill records the duration of a prefill call that was expected to find no queue.
+func (s *placementState) recordPrefill(service string, sample placement.PrefillSample) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if seen := s.observationsOf(service); len(seen.prefills) < placement.MaxSamples {
+		seen.prefills = append(seen.prefills, sample)
+	}
+}
+
+// recordDecode records the duration of a complete response.
+func (s *placementState) recordDecode(service string, sample placement.DecodeSample) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if seen := s.observationsOf(service); len(seen.decodes) < placement.MaxSamples {
+		seen.decodes = append(seen.decodes, sample)
+	}
+}
+
+// recordOverdue records that an engine has shown nothing for longer than it was expected to.
+func (s *placementState) recordOverdue(now clock.Microseconds, service, incarnation string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if seen := s.observationsOf(service); len(seen.overdue) < maxOverdue {
+		seen.overdue[incarnation] = now + overdueReportTime
+	}
+}
--- a/internal/dataplane/proxy/prefill.go
+++ b/internal/dataplane/proxy/prefill.go
@@ -6,6 +6,7 @@
 	"coursepass/internal/clock"
 	"coursepass/internal/dataplane/balancer"
 	"coursepass/internal/dataplane/lifecycle"
+	"coursepass/internal/dataplane/placement"
 	"coursepass/internal/platformport"
 )
 
@@ -44,12 +45,13 @@
 	selection balancer.Selection,
 ) (platformport.KVHandle, platformport.Outcome) {
 	prefiller, startedAt := selection.Prefiller, f.now()
-	f.balancer.AddPromptTokens(prefiller.Incarnation, selection.UncachedTokens)
+	f.balancer.AddPromptTokens(prefiller.Incarnation, f.urgency(), selection.UncachedTokens)
 	f.prefillAttempts++
 	f.retryAccount.addPrefill()
 	// The first prefill may always be canceled; a further one counts as an attempt.
 	mayCancel := f.prefillAttempts == 1 || f.attempts+1 < f.route.MaxAttempts
-	estimate := f.balancer.EstimateTimeout(startedAt, prefiller.Incarnation, balancer.PhasePrefill)
+	estimate := f.balancer.EstimateTimeout(startedAt, prefiller.Incarnation, balancer.PhasePrefill).
+		AtLeast(selection.PrefillWait + selection.PrefillTime)
 	attemptCtx, watchdog := f.startWatchdog(ctx, prefiller.Incarnation, mayCancel, estimate.Limit)
 	// The outcome says all that is needed of the error.
 	kvHandle, outcome, _ := f.proxy.engineClient.Prefill(attemptCtx, f.newAttempt(prefiller))
@@ -61,15 +63,20 @@
 	if outcome == platformport.OutcomeAnswered {
 		f.retryAccount.confirmPrefill()
 		elapsed = now - startedAt
+		f.recordPrefillTime(selection, elapsed)
 		f.balancer.ObserveLatency(balancer.PhasePrefill, estimate, elapsed)
 		f.balancer.RecordResponse(now, prefiller.Incarnation, kvHandle.Load)
 	}
+	if outcome != platformport.OutcomeAnswered {
+		f.timing.add(phaseFailedCalls, now-startedAt)
+	}
 	if outcome == platformport.OutcomeNotSent {
 		f.prefillAttempts--
 		f.retryAccount.undoPrefill()
 	}
 	f.balancer.FinishPrefill(now, prefiller.Incarnation, balancer.FinishedPrefill{
 		Prompt:         f.request.Prompt,
+		Urgency:        f.urgency(),
 		UncachedTokens: selection.UncachedTokens,
 		UnsharedOnly:   selection.UnsharedOnly,
 		Elapsed:        elapsed,
@@ -84,6 +91,23 @@
 	return kvHandle, outcome
 }
 
+// recordPrefillTime records how long an answered prefill call took.
+func (f *forwardedRequest) recordPrefillTime(selection balancer.Selection, elapsed clock.Microseconds) {
+	f.timing.addPrefill(elapsed, selection.PrefillTime)
+	if !selection.Shared || selection.PrefillWait > maxSampledWait {
+		return
+	}
+	cached := -selection.UncachedTokens
+	for _, chunk := range f.request.Prompt {
+		cached += chunk.Tokens
+	}
+	f.proxy.placements.recordPrefill(f.service, placement.PrefillSample{
+		Tokens:        selection.UncachedTokens,
+		Cached:        max(cached, 0),
+		ElapsedMicros: int64(elapsed),
+	})
+}
+
 // prefillIsAttempt reports whether the last prefill call counts as an attempt. The first one counts
 // only if the engine rejected it, one that was not sent never does.
 func (f *forwardedRequest) prefillIsAttempt(outcome platformport.Outcome) bool {
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -24,6 +24,9 @@
 	configView   atomic.Pointer[config.View]
 	retryBudget  lifecycle.RetryBudget
 	startLatency metrics.TimeToFirstByte
+	timing       timingMetrics
+	slowLog      rateLimitedLog
+	placements   placementState
 	maintenance  maintenance.Tracker
 	// lock guards the fields below, up to OnSuspect.
 	lock        sync.Mutex
@@ -36,6 +39,9 @@
 	// OnSuspect, if set, is called when an engine did not answer. It must be set before the first
 	// request, and may be called concurrently.
 	OnSuspect func(service, incarnation string)
+	// Placer, if set, asks placement owners. It must be set before the first request, and its method is
+	// called concurrently.
+	Placer Placer
 }
 
 // New returns a proxy without a configuration or engines.
@@ -47,6 +53,9 @@
 		balancers:        map[string]*balancer.Balancer{},
 		routerCount:      1,
 		startLatency:     metrics.NewTimeToFirstByte(),
+		timing:           newTimingMetrics(),
+		placements:       newPlacementState(),
+		slowLog:          rateLimitedLog{perSecond: options.SlowRequestsPerSecond},
 		migratingEngines: map[string]bool{},
 	}
 }
@@ -87,13 +96,15 @@
 			p.balancers[name] = balancer.New(p.Options.Options)
 		}
 		assignment := p.engines.Assignments[name]
-		p.balancers[name].Update(now, balancer.View{
+		serviceView := balancer.View{
 			Service:        service,
 			Engines:        enginesByService[name],
 			Assignment:     assignment,
 			EvacuatedZones: view.Evacuated,
 			RouterCount:    p.routerCount,
-		})
+		}
+		p.balancers[name].Update(now, serviceView)
+		p.updateOwnership(now, name, serviceView)
 	}
 }
 
@@ -132,8 +143,12 @@
 
 // HandleSuspect records that an engine did not answer another router.
 func (p *Proxy) HandleSuspect(service, incarnation string) {
+	now := p.clock.Now()
 	if lb := p.balancer(service); lb != nil {
-		lb.RecordPeerReport(p.clock.Now(), incarnation)
+		lb.RecordPeerReport(now, incarnation)
+	}
+	if owned := p.placements.ownedBalancer(service); owned != nil {
+		owned.RecordPeerReport(now, incarnation)
 	}
 }
 
--- a/internal/dataplane/proxy/response.go
+++ b/internal/dataplane/proxy/response.go
@@ -80,7 +80,8 @@
 	f.adopted = true
 	if !f.headWritten {
 		f.headWritten = true
-		f.proxy.startLatency.Record(f.now() - f.startedAt)
+		f.timing.timeToHead = f.now() - f.startedAt
+		f.proxy.startLatency.Record(f.timing.timeToHead)
 		f.responseWriter.WriteHead(response.Status, response.Header, response.Length)
 	}
 	return true
--- a/internal/dataplane/proxy/stream.go
+++ b/internal/dataplane/proxy/stream.go
@@ -33,7 +33,9 @@
 		count, err := body.Read(buffer)
 		if count > 0 {
 			call.watchdog.extend(timeout)
-			f.balancer.RecordActivity(f.now(), call.decoder.Incarnation)
+			now := f.now()
+			f.timing.recordData(now)
+			f.balancer.RecordActivity(now, call.decoder.Incarnation)
 		}
 		pending = append(pending, buffer[:count]...)
 		rest, atEventEnd, writeErr := f.writePending(pending)
--- a/internal/dataplane/proxy/watchdog.go
+++ b/internal/dataplane/proxy/watchdog.go
@@ -81,6 +81,7 @@
 	}
 	if w.mayCancel && w.request.retryAccount.acquireTokens(w.request.proxy.retryBudget.Withdraw) {
 		w.request.proxy.TimedOut.Add(1)
+		w.request.proxy.placements.recordOverdue(now, w.request.service, w.incarnation)
 		w.cancel()
 		return
 	}
@@ -98,6 +99,7 @@
 	}
 	w.failureRecorded = true
 	w.request.balancer.RecordError(now, w.incarnation)
+	w.request.proxy.placements.recordOverdue(now, w.request.service, w.incarnation)
 	report := w.request.proxy.OnSuspect
 	// An engine that has responded to other requests meanwhile has more than a long queue.
 	if report != nil && w.request.balancer.ActiveSince(w.incarnation, w.startedAt) {
--- a/internal/dataplane/router/data_plane.go
+++ b/internal/dataplane/router/data_plane.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"coursepass/internal/dataplane/placement"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/registry"
 )
@@ -24,6 +25,8 @@
 	PendingCalls() map[string]int
 	// HandleSuspect receives that an engine did not answer another router.
 	HandleSuspect(service, incarnation string)
+	// Place answers another router's query for a placement.
+	Place(query *placement.Query) (*placement.Answer, error)
 }
 
 // SetDataPlane has a data plane follow the control plane. It comes before Run.
--- a/internal/dataplane/router/router.go
+++ b/internal/dataplane/router/router.go
@@ -121,6 +121,7 @@
 		StreamIdleTimeout: clock.Microseconds(cfg.StreamIdleMillis) * clock.Millisecond,
 	})
 	router.registerSuspectHandler()
+	router.registerPlacementHandler()
 	return router, nil
 }
 
@@ -153,6 +154,11 @@
 	for _, engine := range view.Engines {
 		r.meter.SetZone(engine.Address, engine.Zone)
 	}
+	for _, assignment := range view.Assignments {
+		for _, owner := range assignment.PlacementOwners {
+			r.meter.SetDaemonZone(owner.Address, owner.Zone)
+		}
+	}
 	if r.dataPlane != nil {
 		r.dataPlane.UpdateEngines(view, len(view.Routers()))
 		return
--- a/internal/layering/layering.go
+++ b/internal/layering/layering.go
@@ -78,6 +78,7 @@
 		{Name: "data plane", Packages: []string{
 			"internal/dataplane/lifecycle",
 			"internal/dataplane/balancer",
+			"internal/dataplane/placement",
 			"internal/dataplane/proxy",
 			"internal/dataplane/httpapi",
 			"internal/dataplane/router",
--- a/internal/state/pairing/assignment.go
+++ b/internal/state/pairing/assignment.go
@@ -40,6 +40,18 @@
 	AffinityGroups map[string]string
 	// ChangingRole are the engines that are about to change their role and get no new work.
 	ChangingRole []string
+	// PlacementOwners are the routers that place the requests of all routers, in order; none if each
+	// router places its own.
+	PlacementOwners []PlacementOwner
+}
+
+// PlacementOwner is a router that places the requests of all routers at some of a service's engines. Its
+// field names are part of the log format.
+type PlacementOwner struct {
+	Router string
+	// Address is where the router takes calls of other daemons.
+	Address string
+	Zone    string
 }
 
 // Equal reports whether two assignments are the same for engines and routers.
@@ -50,6 +62,7 @@
 		slices.Equal(a.Pairs, other.Pairs) &&
 		slices.Equal(a.Routers, other.Routers) &&
 		slices.Equal(a.ChangingRole, other.ChangingRole) &&
+		slices.Equal(a.PlacementOwners, other.PlacementOwners) &&
 		maps.Equal(a.AffinityGroups, other.AffinityGroups)
 }
 
--- a/internal/state/pairing/wire.go
+++ b/internal/state/pairing/wire.go
@@ -11,6 +11,8 @@
 	Routers []string
 	Teams   map[string]string
 	Away    []string
+	// PlacementOwners was added later: an entry without it has none.
+	PlacementOwners []PlacementOwner
 }
 
 // ToWire returns the assignment as it is stored. Both share slices and maps.
@@ -24,6 +26,8 @@
 		Routers: a.Routers,
 		Teams:   a.AffinityGroups,
 		Away:    a.ChangingRole,
+
+		PlacementOwners: a.PlacementOwners,
 	}
 }
 
@@ -38,5 +42,7 @@
 		Routers:        a.Routers,
 		AffinityGroups: a.Teams,
 		ChangingRole:   a.Away,
+
+		PlacementOwners: a.PlacementOwners,
 	}
 }
