Tell owners of engines that fail, and let no prompt pause others' responses

And an owner heard of engines in trouble only by what routers tell each other.

Change: a router tells an engine's owner at once of a failed or misdirected call and of a call past its timeout; the owner ejects the engine, longer each time, and then tries it with single requests. Requests that may not be split are placed by the owner too. A decode engine that computes a long prompt gets no new responses if others are free, and a request whose prefill failed is rejected, with a time to come back, where it would pause more than one response. Ties between engines are broken by router, for fewer connections. releaseKV's calls are waited for at the end.

--- a/internal/compat/calls.go
+++ b/internal/compat/calls.go
@@ -50,6 +50,8 @@
 	"engine-suspicion-request":   router.Suspect{},
 	"placement-request":          placement.Query{},
 	"placement-answer":           placement.Answer{},
+	"engine-report-request":      placement.EngineReport{},
+	"engine-report-answer":       placement.EngineReportAnswer{},
 	"membership-shuffle":         peers.ShuffleMessage{},
 	"gossip-push-request":        gossip.PushRequest{},
 	"gossip-digest":              gossip.Digest{},
--- a/internal/dataplane/balancer/cost.go
+++ b/internal/dataplane/balancer/cost.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"coursepass/internal/clock"
+	"coursepass/internal/state/pairing"
 )
 
 const (
@@ -26,6 +27,11 @@
 	runningRequestCost = 1500 * clock.Microseconds(1)
 	// saturationCost is added for a decoder without a free slot.
 	saturationCost = 400 * clock.Millisecond
+	// pausedRunCost is added for a decoder that pauses its responses for too long.
+	pausedRunCost = 300 * clock.Millisecond
+	// pauseShare is the part of the longest pause that the prefill of a decoder may take: the rest is the
+	// time from one event to the next without any prefill.
+	pauseShare = 0.75
 	// baseInterference is how many times its own time a prefill at a decoder costs if that decoder
 	// generates nothing else.
 	baseInterference = 3
@@ -94,9 +100,22 @@
 	if b.full(now, decoder) {
 		cost += saturationCost
 	}
+	if b.pausesRuns(decoder, 0, requirements.EventTimeout) {
+		cost += pausedRunCost
+	}
 	return cost
 }
 
+// pausesRuns reports whether a decoder that computes some prompt tokens beside those it has yet to compute
+// pauses its responses for longer than a route aims at: they get hardly any tokens meanwhile.
+func (b *Balancer) pausesRuns(decoder *engineState, tokens int, eventTimeout clock.Microseconds) bool {
+	if eventTimeout <= 0 || decoder.Role == pairing.RolePrefill {
+		return false
+	}
+	prefill := b.prefillTime(tokens+decoder.backlog.total(), sharedRateShare)
+	return float64(prefill) > float64(eventTimeout)*pauseShare
+}
+
 // localPrefillCost returns the cost of computing some tokens of a prompt at the decoder itself. All
 // responses that it generates wait meanwhile, each for every chunk of the prompt.
 func (b *Balancer) localPrefillCost(now clock.Microseconds, decoder *engineState, tokens int) clock.Microseconds {
@@ -130,12 +149,19 @@
 		b.prefillModel.Fixed() +
 		b.distanceCost(prefiller, requirements) +
 		duplicateCost +
-		tieBreakCost(requirements.Key, prefiller) +
+		b.tieBreakCost(requirements, prefiller) +
 		prefiller.penalty
 }
 
-// tieBreakCost returns the pseudo-random cost by which a request orders equal engines.
-func tieBreakCost(key string, engine *engineState) clock.Microseconds {
+// tieBreakCost returns the pseudo-random cost by which a request orders equal engines. Routers that know only
+// their own requests order them differently for each request, so that they don't all choose the same engine.
+// An owner, which knows all requests, orders them by the router that has the request: the router then meets
+// the same engines again, over the same connections.
+func (b *Balancer) tieBreakCost(requirements Requirements, engine *engineState) clock.Microseconds {
+	key := requirements.Key
+	if b.PlacesForAll {
+		key = requirements.Router
+	}
 	return clock.Microseconds(rendezvousScore(key, engine.Incarnation) % uint64(tieBreakRange))
 }
 
--- a/internal/dataplane/balancer/eligibility.go
+++ b/internal/dataplane/balancer/eligibility.go
@@ -16,8 +16,12 @@
 	Prompt []platformport.PromptChunk
 	// Urgency is that of the request at engines, 0 for the most urgent.
 	Urgency int
-	// Zone is the zone of the router that has the request, empty for that of the balancer.
-	Zone string
+	// Router and Zone are those of the router that has the request, empty for those of the balancer.
+	Router string
+	Zone   string
+	// EventTimeout is the longest pause between two events that the route aims at, 0 if it has no such
+	// target.
+	EventTimeout clock.Microseconds
 	// BodyBytes is the size of the request in bytes.
 	BodyBytes int
 	// NoSplit forbids prefilling and decoding at two engines.
@@ -86,7 +90,7 @@
 func (b *Balancer) withoutSuspects(now clock.Microseconds, engines []*engineState) []*engineState {
 	trusted := make([]*engineState, 0, len(engines))
 	for _, engine := range engines {
-		if now >= engine.suspectUntil && !engine.lagging(now, b.prefillRate) {
+		if !engine.ejected(now) && !engine.lagging(now, b.prefillRate) {
 			trusted = append(trusted, engine)
 		}
 	}
--- a/internal/dataplane/balancer/engine_state.go
+++ b/internal/dataplane/balancer/engine_state.go
@@ -34,6 +34,12 @@
 	// suspectUntil is until when the engine is ejected.
 	suspectUntil        clock.Microseconds
 	consecutiveFailures int
+	// overdueInARow counts the ejections by RecordOverdue that followed soon after one another, and
+	// probationUntil is until when another one follows soon.
+	overdueInARow  int
+	probationUntil clock.Microseconds
+	// heldUntil is until when an engine on probation gets no further request.
+	heldUntil clock.Microseconds
 	// failureScore is the decaying number of recent failures, as of failureScoreAt.
 	failureScore   float64
 	failureScoreAt clock.Microseconds
--- a/internal/dataplane/balancer/outlier_detection.go
+++ b/internal/dataplane/balancer/outlier_detection.go
@@ -21,6 +21,10 @@
 	// has shown something here within recentActivityWindow.
 	peerReportEjection   = 700 * clock.Millisecond
 	recentActivityWindow = 150 * clock.Millisecond
+	// probationFactor is how many times the duration of its ejection an engine is on probation after it,
+	// probationInterval the time between two requests that an owner places there meanwhile.
+	probationFactor   = 2
+	probationInterval = 250 * clock.Millisecond
 	// staleEntryEjection is how long an engine is ejected that is not what the list says.
 	staleEntryEjection = clock.Second
 
@@ -59,6 +63,11 @@
 	e.suspectUntil = now + min(backoff, maxEjection)
 }
 
+// ejected reports whether the engine gets no requests for now if others may be used.
+func (e *engineState) ejected(now clock.Microseconds) bool {
+	return now < e.suspectUntil || now < e.heldUntil
+}
+
 // setFailurePenalties sets the penalty of each engine, relative to the median of their scores: what
 // all have in common, as after a failure of this router's own network, counts against none. The
 // caller holds the lock.
@@ -101,15 +110,31 @@
 	}
 }
 
-// RecordOverdue records another router's word that an engine has shown nothing for longer than expected.
-// Several routers may tell of the same event: while the engine is ejected it changes nothing.
+// RecordOverdue records another router's word that an engine has failed a call, or has shown nothing of it
+// for longer than expected. The ejection doubles if the engine fails again soon after it. Several routers
+// may tell of the same event: while the engine is ejected it changes nothing.
 func (b *Balancer) RecordOverdue(now clock.Microseconds, incarnation string) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	engine := b.engine(incarnation)
-	if now >= engine.suspectUntil {
-		engine.addFailure(now)
-		engine.suspectUntil = now + peerReportEjection
+	if now < engine.suspectUntil {
+		return
+	}
+	if now >= engine.probationUntil {
+		engine.overdueInARow = 0
+	}
+	ejection := min(peerReportEjection<<min(engine.overdueInARow, maxEjectionDoublings), maxEjection)
+	engine.overdueInARow++
+	engine.addFailure(now)
+	engine.suspectUntil = now + ejection
+	engine.probationUntil = engine.suspectUntil + probationFactor*ejection
+}
+
+// limitProbation keeps further requests from an engine that gets one soon after its ejection, until that
+// one has shown whether the engine works again.
+func (e *engineState) limitProbation(now clock.Microseconds) {
+	if now < e.probationUntil {
+		e.heldUntil = now + probationInterval
 	}
 }
 
--- a/internal/dataplane/balancer/selection.go
+++ b/internal/dataplane/balancer/selection.go
@@ -26,6 +26,9 @@
 	UnsharedOnly bool
 	// Shared says that an owner made the selection, which places the requests of all routers.
 	Shared bool
+	// PausedRuns is how many responses the decoder would pause for too long to compute the prompt by
+	// itself.
+	PausedRuns int
 	// Full says that the decoder has no free slot, as far as is known.
 	Full bool
 }
@@ -65,7 +68,7 @@
 	candidates := make([]candidate, len(decoders))
 	cheapest := map[groupKey]cheapestPair{}
 	for index, decoder := range decoders {
-		cost := b.decodeCost(now, decoder, requirements) + tieBreakCost(requirements.Key, decoder)
+		cost := b.decodeCost(now, decoder, requirements) + b.tieBreakCost(requirements, decoder)
 		candidates[index] = candidate{decoder, cost}
 		key := groupKey{b.affinityGroup(decoder), decoder.Zone}
 		pair := cheapest[key]
@@ -181,6 +184,7 @@
 				Decoder:          decoder.Engine,
 				TimeToFirstToken: cost,
 				UncachedTokens:   tokens,
+				PausedRuns:       b.pausedRuns(now, decoder.engineState, tokens, requirements.EventTimeout),
 				Full:             b.full(now, decoder.engineState),
 			}
 		}
@@ -188,6 +192,19 @@
 	return best, lowestCost
 }
 
+// pausedRuns returns how many responses a decoder would pause for too long if it computed some prompt tokens.
+func (b *Balancer) pausedRuns(
+	now clock.Microseconds,
+	decoder *engineState,
+	tokens int,
+	eventTimeout clock.Microseconds,
+) int {
+	if !b.pausesRuns(decoder, tokens, eventTimeout) {
+		return 0
+	}
+	return int(b.occupancy(now, decoder))
+}
+
 // SelectDecoder returns the decoder with the lowest cost that may fetch a KV cache from a prefiller,
 // as a replacement for one that Select has chosen. It reports false if there is none.
 func (b *Balancer) SelectDecoder(
--- a/internal/dataplane/balancer/shared_placement.go
+++ b/internal/dataplane/balancer/shared_placement.go
@@ -65,12 +65,14 @@
 		prefiller := b.engine(selection.Prefiller.Incarnation)
 		prefiller.backlog.add(requirements.Urgency, selection.UncachedTokens)
 		prefiller.recordCached(now, requirements.Prompt)
+		prefiller.limitProbation(now)
 		startsAt += selection.PrefillWait + selection.PrefillTime
 	} else {
 		decoder.backlog.add(requirements.Urgency, selection.UncachedTokens)
 		startsAt += b.prefillTime(selection.UncachedTokens, sharedRateShare)
 	}
 	decoder.recordCached(now, requirements.Prompt)
+	decoder.limitProbation(now)
 	decoder.addExpectedRun(startsAt + b.decodeTime.estimate(maxTokens))
 	return selection, true
 }
@@ -187,5 +189,5 @@
 	if !ok || !b.mayUse(now, engine, requirements) {
 		return nil, false
 	}
-	return engine, now >= engine.suspectUntil && !engine.lagging(now, b.prefillRate)
+	return engine, !engine.ejected(now) && !engine.lagging(now, b.prefillRate)
 }
--- a/internal/dataplane/balancer/shared_placement_test.go
+++ b/internal/dataplane/balancer/shared_placement_test.go
@@ -199,3 +199,52 @@
 		t.Errorf("%v, before %v", owner.PrefillCoefficients(), before)
 	}
 }
+
+// An engine that fails again whenever it is tried gets one request at a time, and more and more rarely.
+func TestPlace_ProbesAnEjectedEngineWithSingleRequests(t *testing.T) {
+	engines := newEngines(pairing.RolePrefill, pairing.RolePrefill, pairing.RoleDecode, pairing.RoleDecode)
+	owner := newOwnerBalancer(engines)
+	broken := engineName(0)
+	owner.RecordOverdue(clock.Second, broken)
+	victims := 0
+	for number := range 1000 {
+		now := clock.Second + clock.Microseconds(number)*10*clock.Millisecond
+		selection, _ := owner.Place(now, unsharedRequest(number, 2000), sharedPlacementTokens)
+		if selection.Prefiller.Incarnation != broken {
+			continue
+		}
+		victims++
+		owner.RecordOverdue(now+200*clock.Millisecond, broken)
+	}
+	if victims == 0 || victims > 8 {
+		t.Errorf("%d of 1000 requests in ten seconds are placed at an engine that fails all", victims)
+	}
+}
+
+func TestPlace_SparesRunningResponsesLongPauses(t *testing.T) {
+	owner := newOwnerBalancer(newEngines(pairing.RoleDecode, pairing.RoleDecode))
+	place := func(number, tokens int) balancer.Selection {
+		requirements := unsharedRequest(number, tokens)
+		requirements.EventTimeout = 200 * clock.Millisecond
+		requirements.NoSplit = true
+		selection, ok := owner.Place(clock.Second, requirements, 4000)
+		if !ok {
+			t.Fatal("not placed")
+		}
+		return selection
+	}
+	for number := range 6 {
+		if selection := place(number, 100); selection.PausedRuns != 0 {
+			t.Errorf("a short prompt pauses %d responses", selection.PausedRuns)
+		}
+	}
+	long := place(100, 12_000)
+	if long.PausedRuns == 0 {
+		t.Error("a long prompt at a decoder with responses pauses none")
+	}
+	for number := range 4 {
+		if selection := place(200+number, 100); selection.Decoder == long.Decoder {
+			t.Error("a response is placed at a decoder that computes a long prompt, beside one that does not")
+		}
+	}
+}
--- a/internal/dataplane/placement/message.go
+++ b/internal/dataplane/placement/message.go
@@ -52,10 +52,12 @@
 	MaxTokens    int
 	Urgency      int
 	NonRetryable bool
-	// Excluded are the incarnations that may not get the request, Overdue those that have shown nothing
-	// for longer than they were expected to.
+	// NoSplit forbids prefilling and decoding at two engines.
+	NoSplit bool
+	// EventTimeoutMicros is the longest pause between two events that the route aims at, 0 for none.
+	EventTimeoutMicros int64
+	// Excluded are the incarnations that may not get the request.
 	Excluded []string
-	Overdue  []string
 	Prefills []PrefillSample
 	Decodes  []DecodeSample
 }
@@ -68,6 +70,8 @@
 	Decoder   string
 	// UncachedTokens is how many tokens of the prompt have to be computed.
 	UncachedTokens int
+	// PausedRuns is how many responses the decoder pauses for too long if it prefills by itself.
+	PausedRuns int
 	// WaitMicros is how long the prefill is expected to be queued, PrefillMicros how long it is expected to
 	// take after that, FirstTokenMicros the cost of the placement.
 	WaitMicros       int64
@@ -78,6 +82,32 @@
 	PrefillTerms []float64
 }
 
+// EngineReport tells the owner of an engine that a call to the engine failed, or has shown nothing for longer
+// than expected.
+type EngineReport struct {
+	// Router is the one that made the call.
+	Router      string
+	Service     string
+	Incarnation string
+}
+
+// EngineReportAnswer is the answer to a report. It says nothing.
+type EngineReportAnswer struct {
+	// Taken is 1, so that the message is not empty.
+	Taken int
+}
+
+// Check returns a MalformedMessage error if the report is out of bounds.
+func (r *EngineReport) Check() error {
+	if r.Router == "" || r.Service == "" || r.Incarnation == "" {
+		return malformed("a name is missing")
+	}
+	if !namesWithinBounds(r.Router, r.Service, r.Incarnation) {
+		return malformed("a long name")
+	}
+	return nil
+}
+
 // PrefillTermCount is how many coefficients a prefill model has.
 const PrefillTermCount = 3
 
@@ -95,15 +125,15 @@
 		return malformed("a long name")
 	case len(q.Prompt) == 0 || len(q.Prompt) > maxChunks:
 		return malformed("the number of chunks")
-	case len(q.Excluded) > maxExcluded || len(q.Overdue) > maxExcluded:
+	case len(q.Excluded) > maxExcluded:
 		return malformed("the number of engines")
-	case !namesWithinBounds(q.Excluded...) || !namesWithinBounds(q.Overdue...):
+	case !namesWithinBounds(q.Excluded...):
 		return malformed("a long name of an engine")
 	case len(q.Prefills) > MaxSamples || len(q.Decodes) > MaxSamples:
 		return malformed("the number of samples")
 	case q.Urgency < 0 || q.Urgency > maxUrgency:
 		return malformed("the urgency")
-	case q.BodyBytes < 0 || q.MaxTokens < 0:
+	case q.BodyBytes < 0 || q.MaxTokens < 0 || q.EventTimeoutMicros < 0:
 		return malformed("a negative size")
 	}
 	tokens := 0
@@ -127,7 +157,7 @@
 	if a.Decoder == "" || !namesWithinBounds(a.Prefiller, a.Decoder) {
 		return malformed("the name of an engine")
 	}
-	if a.UncachedTokens < 0 || a.UncachedTokens > maxPromptTokens {
+	if a.UncachedTokens < 0 || a.UncachedTokens > maxPromptTokens || a.PausedRuns < 0 {
 		return malformed("the number of tokens")
 	}
 	for _, duration := range []int64{a.WaitMicros, a.PrefillMicros, a.FirstTokenMicros} {
--- a/internal/dataplane/placement/message_test.go
+++ b/internal/dataplane/placement/message_test.go
@@ -35,8 +35,9 @@
 		"a negative response":         func(query *placement.Query) { query.MaxTokens = -1 },
 		"a negative urgency":          func(query *placement.Query) { query.Urgency = -1 },
 		"a large urgency":             func(query *placement.Query) { query.Urgency = 10 },
+		"a long excluded name":        func(query *placement.Query) { query.Excluded = []string{long} },
 		"many excluded":               func(query *placement.Query) { query.Excluded = make([]string, 100) },
-		"a long overdue name":         func(query *placement.Query) { query.Overdue = []string{long} },
+		"a negative pause":            func(query *placement.Query) { query.EventTimeoutMicros = -1 },
 		"many samples":                func(query *placement.Query) { query.Prefills = make([]placement.PrefillSample, 17) },
 		"many decode samples":         func(query *placement.Query) { query.Decodes = make([]placement.DecodeSample, 17) },
 	} {
@@ -70,6 +71,7 @@
 		"a negative wait":         func(answer *placement.Answer) { answer.WaitMicros = -1 },
 		"a huge wait":             func(answer *placement.Answer) { answer.WaitMicros = math.MaxInt64 },
 		"a negative duration":     func(answer *placement.Answer) { answer.PrefillMicros = -1 },
+		"negative paused runs":    func(answer *placement.Answer) { answer.PausedRuns = -1 },
 		"no model":                func(answer *placement.Answer) { answer.PrefillTerms = nil },
 		"a longer model":          func(answer *placement.Answer) { answer.PrefillTerms = make([]float64, 4) },
 		"a negative term":         func(answer *placement.Answer) { answer.PrefillTerms[1] = -1 },
@@ -88,3 +90,22 @@
 		t.Errorf("an answer that places nothing: %v", err)
 	}
 }
+
+func TestEngineReportCheck(t *testing.T) {
+	valid := placement.EngineReport{Router: "router-1", Service: "model", Incarnation: "engine-1"}
+	if err := valid.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string]func(*placement.EngineReport){
+		"no router":   func(report *placement.EngineReport) { report.Router = "" },
+		"no service":  func(report *placement.EngineReport) { report.Service = "" },
+		"no engine":   func(report *placement.EngineReport) { report.Incarnation = "" },
+		"a long name": func(report *placement.EngineReport) { report.Incarnation = strings.Repeat("x", 300) },
+	} {
+		report := valid
+		change(&report)
+		if err := report.Check(); errcode.CodeOf(err, 0) != errcode.MalformedMessage {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/dataplane/placement/ownership.go
+++ b/internal/dataplane/placement/ownership.go
@@ -24,6 +24,8 @@
 	// engines are the engines of each owner, by the owner's index; prefillers counts those that prefill.
 	engines    [][]platformport.Engine
 	prefillers []int
+	// ownerByEngine has the index of each engine's owner, by incarnation.
+	ownerByEngine map[string]int
 }
 
 // NewOwnership divides engines among owners: an engine goes to an owner of its zone if there is one. The
@@ -33,6 +35,8 @@
 		owners:     owners,
 		engines:    make([][]platformport.Engine, len(owners)),
 		prefillers: make([]int, len(owners)),
+
+		ownerByEngine: map[string]int{},
 	}
 	if len(owners) == 0 {
 		return ownership
@@ -74,6 +78,7 @@
 		}
 		taken[best]++
 		o.engines[best] = append(o.engines[best], engine)
+		o.ownerByEngine[engine.Incarnation] = best
 		if engine.Role != pairing.RoleDecode {
 			o.prefillers[best]++
 		}
@@ -105,6 +110,15 @@
 	return nil
 }
 
+// OwnerOf returns the owner of an engine. It reports false if the engine is unknown.
+func (o *Ownership) OwnerOf(incarnation string) (pairing.PlacementOwner, bool) {
+	index, known := o.ownerByEngine[incarnation]
+	if !known {
+		return pairing.PlacementOwner{}, false
+	}
+	return o.owners[index], true
+}
+
 // OwnerFor returns the owner that places a request of a router's zone. Requests that share a long prefix
 // have the same one at all routers, all others one of the zone. It reports false if there is none.
 func (o *Ownership) OwnerFor(zone, requestID string, prompt []platformport.PromptChunk) (pairing.PlacementOwner, bool) {
--- a/internal/dataplane/proxy/attempt.go
+++ b/internal/dataplane/proxy/attempt.go
@@ -107,19 +107,23 @@
 	case ctx.Err() != nil:
 	case call.outcome == platformport.OutcomeMisdirected:
 		f.balancer.RecordStaleEntry(now, call.incarnation)
+		f.proxy.reportEngine(ctx, f.service, call.incarnation)
 	case call.outcome == platformport.OutcomeNotStarted && call.busy:
 		f.balancer.RecordRejection(now, call.incarnation)
 	default:
-		f.reportEngineFailure(now, call.incarnation, call.timedOut)
+		f.reportEngineFailure(ctx, now, call.incarnation, call.timedOut)
 	}
 }
 
 // reportEngineFailure records that an engine aborted a call, did not answer or could not be
 // reached. Other routers hear of it too, except for a timeout: that may be no more than a long
 // queue.
-func (f *forwardedRequest) reportEngineFailure(now clock.Microseconds, incarnation string, timedOut bool) {
+func (f *forwardedRequest) reportEngineFailure(
+	ctx context.Context, now clock.Microseconds, incarnation string, timedOut bool,
+) {
 	f.proxy.EngineFailures.Add(1)
 	f.balancer.RecordFailure(now, incarnation)
+	f.proxy.reportEngine(ctx, f.service, incarnation)
 	if f.proxy.OnSuspect != nil && !timedOut {
 		f.proxy.OnSuspect(f.service, incarnation)
 	}
--- a/internal/dataplane/proxy/counters.go
+++ b/internal/dataplane/proxy/counters.go
@@ -32,12 +32,16 @@
 	// with a prompt that this router made by itself.
 	PlacedByOwner atomic.Int64
 	PlacedAlone   atomic.Int64
+	// EngineReports counts the reports of other routers about engines that this router owns.
+	EngineReports atomic.Int64
 	// Retries counts requests sent again after they may have run, Resumed streams that another
 	// engine continued.
 	Retries atomic.Int64
 	Resumed atomic.Int64
 	// RetryBudgetExhausted counts arrivals for which the retry budget had no token.
 	RetryBudgetExhausted atomic.Int64
+	// LeftForOthers counts requests that were rejected since they would have paused other responses.
+	LeftForOthers atomic.Int64
 	// NotStarted counts runs that are proven not to have started.
 	NotStarted atomic.Int64
 	// EngineFailures counts calls that an engine failed, TimedOut calls that a watchdog canceled.
@@ -80,6 +84,8 @@
 
 		"placed-by-owner":    p.PlacedByOwner.Load(),
 		"placed-alone":       p.PlacedAlone.Load(),
+		"left-for-others":    p.LeftForOthers.Load(),
+		"engine-reports":     p.EngineReports.Load(),
 		"owned-engines":      p.placements.ownedEngineCount(),
 		"migrated":           p.Migrated.Load(),
 		"migrations-aborted": p.MigrationsAborted.Load(),
--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -101,6 +101,10 @@
 			f.proxy.NoEngine.Add(1)
 			return f.reject(errcode.NoEngine, retryAfterShort)
 		}
+		if f.shouldLeave(selection) {
+			f.proxy.LeftForOthers.Add(1)
+			return f.reject(errcode.NoEngine, retryAfterShort)
+		}
 		completed, ended := f.handleOutcome(f.attempt(ctx, selection))
 		if ended {
 			return completed
@@ -111,6 +115,17 @@
 	}
 }
 
+// maxPausedRuns is how many other responses a request may pause for too long.
+const maxPausedRuns = 1
+
+// shouldLeave reports whether a request whose prefill failed is better rejected: its decoder would have to
+// compute the prompt by itself and would pause the responses of others meanwhile. The client may come back,
+// and find a prefill engine then.
+func (f *forwardedRequest) shouldLeave(selection balancer.Selection) bool {
+	return !selection.Split && f.prefillAttempts > 0 && selection.PausedRuns > maxPausedRuns &&
+		f.IsUnstarted() && !f.headWritten && f.now()-f.startedAt < (f.deadline-f.startedAt)/2
+}
+
 // selectOrQueue selects engines, and queues a request that has not been attempted yet while all of
 // them are full. It reports whether there is an engine to send the request to.
 func (f *forwardedRequest) selectOrQueue(ctx context.Context) (balancer.Selection, bool) {
--- a/internal/dataplane/proxy/forwarded_request.go
+++ b/internal/dataplane/proxy/forwarded_request.go
@@ -121,6 +121,8 @@
 	return balancer.Requirements{
 		Prompt:          f.request.Prompt,
 		Urgency:         f.urgency(),
+		Router:          f.proxy.Router,
+		EventTimeout:    f.route.EventTimeout,
 		BodyBytes:       len(f.request.Body),
 		NoSplit:         prefillUsedUp || len(f.request.Prompt) == 0,
 		NonRetryable:    !f.route.IsRetryable(),
--- a/internal/dataplane/proxy/placement.go
+++ b/internal/dataplane/proxy/placement.go
@@ -19,19 +19,16 @@
 	// placementTimeout is how long a placement owner may take to answer: much longer than a healthy one
 	// takes, and much less than a blind choice costs at a busy engine.
 	placementTimeout = 30 * clock.Millisecond
-	// overdueReportTime is how long queries report that an engine was overdue.
-	overdueReportTime = 300 * clock.Millisecond
-	// maxOverdue bounds the overdue engines that are remembered.
-	maxOverdue = 32
 	// maxSampledWait is up to which expected wait a prefill call counts as one that found no queue.
 	maxSampledWait = clock.Millisecond
 )
 
-// Placer asks a placement owner, which is another router.
+// Placer calls a placement owner, which is another router.
 type Placer interface {
 	AskPlacement(
 		ctx context.Context, owner pairing.PlacementOwner, query *placement.Query,
 	) (*placement.Answer, error)
+	ReportEngine(ctx context.Context, owner pairing.PlacementOwner, report *placement.EngineReport) error
 }
 
 // placementResult is what became of the attempt to have a request placed by an owner.
@@ -68,6 +65,8 @@
 	ownedEngines map[string]int
 	// observed are what was seen of engines and no owner has been told yet, by service.
 	observed map[string]*observations
+	// reportedEngines is when an owner was last told of an engine.
+	reportedEngines map[string]clock.Microseconds
 	// malformedLogged is set once a malformed answer was logged.
 	malformedLogged bool
 }
@@ -76,8 +75,6 @@
 type observations struct {
 	prefills []placement.PrefillSample
 	decodes  []placement.DecodeSample
-	// overdue is until when an incarnation is reported as overdue.
-	overdue map[string]clock.Microseconds
 }
 
 // newPlacementState returns the state of a router that knows no owners and owns no engines.
@@ -91,7 +88,8 @@
 		owned:      map[string]*balancer.Balancer{},
 		observed:   map[string]*observations{},
 
-		ownedEngines: map[string]int{},
+		ownedEngines:    map[string]int{},
+		reportedEngines: map[string]clock.Microseconds{},
 	}
 }
 
@@ -159,9 +157,6 @@
 		return &placement.Answer{}, nil
 	}
 	now := p.clock.Now()
-	for _, incarnation := range query.Overdue {
-		owned.RecordOverdue(now, incarnation)
-	}
 	owned.Observe(samplesOf(query))
 	selection, placed := owned.Place(now, requirementsOf(query), query.MaxTokens)
 	if !placed {
@@ -173,6 +168,7 @@
 		Prefiller:        selection.Prefiller.Incarnation,
 		Decoder:          selection.Decoder.Incarnation,
 		UncachedTokens:   selection.UncachedTokens,
+		PausedRuns:       selection.PausedRuns,
 		WaitMicros:       int64(selection.PrefillWait),
 		PrefillMicros:    int64(selection.PrefillTime),
 		FirstTokenMicros: int64(selection.TimeToFirstToken),
@@ -185,7 +181,10 @@
 	requirements := balancer.Requirements{
 		BodyBytes:       query.BodyBytes,
 		Urgency:         query.Urgency,
+		Router:          query.Router,
 		Zone:            query.Zone,
+		NoSplit:         query.NoSplit,
+		EventTimeout:    clock.Microseconds(query.EventTimeoutMicros),
 		NonRetryable:    query.NonRetryable,
 		Key:             query.Key,
 		ExcludedEngines: map[string]bool{},
@@ -238,7 +237,7 @@
 	ctx context.Context, requirements balancer.Requirements,
 ) (balancer.Selection, placementResult) {
 	bound := len(requirements.ClosedRegions) > 0 || len(requirements.AllowedRegions) > 0
-	if requirements.NoSplit || bound {
+	if len(requirements.Prompt) == 0 || bound {
 		return balancer.Selection{}, placementUnsuited
 	}
 	owner, ok := f.proxy.placements.ownerFor(f.service, f.proxy.Zone, &f.request)
@@ -255,6 +254,7 @@
 	}
 	f.balancer.AdoptPrefillCoefficients([placement.PrefillTermCount]float64(answer.PrefillTerms))
 	selection.UncachedTokens = answer.UncachedTokens
+	selection.PausedRuns = answer.PausedRuns
 	selection.UnsharedOnly = selection.Split && answer.UncachedTokens <= ownTokens(requirements.Prompt)
 	selection.TimeToFirstToken = clock.Microseconds(answer.FirstTokenMicros)
 	if selection.Split {
@@ -282,7 +282,10 @@
 		BodyBytes:    requirements.BodyBytes,
 		MaxTokens:    f.request.MaxTokens,
 		Urgency:      requirements.Urgency,
+		NoSplit:      requirements.NoSplit,
 		NonRetryable: requirements.NonRetryable,
+
+		EventTimeoutMicros: int64(requirements.EventTimeout),
 	}
 	for _, chunk := range requirements.Prompt {
 		query.Prompt = append(query.Prompt, placement.Chunk{Name: chunk.Name, Tokens: chunk.Tokens})
@@ -290,7 +293,7 @@
 	for incarnation := range requirements.ExcludedEngines {
 		query.Excluded = append(query.Excluded, incarnation)
 	}
-	f.proxy.placements.takeObservations(f.now(), f.service, query)
+	f.proxy.placements.takeObservations(f.service, query)
 	return query
 }
 
@@ -348,27 +351,19 @@
 func (s *placementState) observationsOf(service string) *observations {
 	seen := s.observed[service]
 	if seen == nil {
-		seen = &observations{overdue: map[string]clock.Microseconds{}}
+		seen = &observations{}
 		s.observed[service] = seen
 	}
 	return seen
 }
 
-// takeObservations moves what was seen of a service's engines into a query. Overdue engines are reported to
-// all owners that are asked within overdueReportTime.
-func (s *placementState) takeObservations(now clock.Microseconds, service string, query *placement.Query) {
+// takeObservations moves what was seen of a service's engines into a query.
+func (s *placementState) takeObservations(service string, query *placement.Query) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	seen := s.observationsOf(service)
 	query.Prefills, query.Decodes = seen.prefills, seen.decodes
 	seen.prefills, seen.decodes = nil, nil
-	for incarnation, until := range seen.overdue {
-		if now >= until {
-			delete(seen.overdue, incarnation)
-			continue
-		}
-		query.Overdue = append(query.Overdue, incarnation)
-	}
 }
 
 // recordPrefill records the duration of a prefill call that was expected to find no queue.
@@ -389,11 +384,24 @@
 	}
 }
 
-// recordOverdue records that an engine has shown nothing for longer than it was expected to.
-func (s *placementState) recordOverdue(now clock.Microseconds, service, incarnation string) {
+// beginEngineReport returns the owner of an engine. It reports false if there is none or if it was told of
+// the engine just now.
+func (s *placementState) beginEngineReport(
+	now clock.Microseconds, service, incarnation string,
+) (pairing.PlacementOwner, bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if seen := s.observationsOf(service); len(seen.overdue) < maxOverdue {
-		seen.overdue[incarnation] = now + overdueReportTime
+	ownership := s.ownerships[service]
+	if ownership == nil {
+		return pairing.PlacementOwner{}, false
+	}
+	owner, owned := ownership.OwnerOf(incarnation)
+	if reportedAt, reported := s.reportedEngines[incarnation]; !owned || reported && now-reportedAt < engineReportInterval {
+		return pairing.PlacementOwner{}, false
+	}
+	if len(s.reportedEngines) >= maxReportedEngines {
+		clear(s.reportedEngines)
 	}
+	s.reportedEngines[incarnation] = now
+	return owner, true
 }
--- a/internal/dataplane/proxy/placement_test.go
+++ b/internal/dataplane/proxy/placement_test.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 
 	"coursepass/internal/clock"
+	"coursepass/internal/dataplane/balancer"
 	"coursepass/internal/dataplane/placement"
 	"coursepass/internal/dataplane/proxy"
+	"coursepass/internal/errcode"
 	"coursepass/internal/platformport"
 	"coursepass/internal/state/pairing"
 	"coursepass/internal/state/registry"
+	"coursepass/internal/state/route"
 )
 
 // recordingEngines answers all calls and records which engines got them.
@@ -39,13 +45,30 @@
 	answer  placement.Answer
 	err     error
 	queries []placement.Query
+	reports chan placement.EngineReport
+	// onQuery, if set, is called before each answer.
+	onQuery func(*placement.Query)
+	lock    sync.Mutex
+}
+
+func (s *scriptedOwner) ReportEngine(
+	_ context.Context, _ pairing.PlacementOwner, report *placement.EngineReport,
+) error {
+	s.reports <- *report
+	return nil
 }
 
 func (s *scriptedOwner) AskPlacement(
 	_ context.Context, _ pairing.PlacementOwner, query *placement.Query,
 ) (*placement.Answer, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	s.queries = append(s.queries, *query)
-	return &s.answer, s.err
+	if s.onQuery != nil {
+		s.onQuery(query)
+	}
+	answer := s.answer
+	return &answer, s.err
 }
 
 // placementFixture is a proxy with two engines of each role and one placement owner.
@@ -58,14 +81,22 @@
 
 func newPlacementFixture(t *testing.T, ownerName string) *placementFixture {
 	t.Helper()
-	fixture := &placementFixture{engines: &recordingEngines{}, owner: &scriptedOwner{}, now: clock.Second}
+	fixture := &placementFixture{engines: &recordingEngines{}, owner: &scriptedOwner{reports: make(chan placement.EngineReport, 100)}, now: clock.Second}
 	timeSource := clock.NewFromSource(func() clock.Microseconds { return fixture.now })
-	roles := []string{pairing.RolePrefill, pairing.RolePrefill, pairing.RoleDecode, pairing.RoleDecode}
-	fixture.Proxy = newTestProxyWithClock(timeSource, fixture.engines, 1, false, roles...)
+	fixture.Proxy = newTestProxyWithClock(timeSource, fixture.engines, 1, false, placementRoles...)
 	fixture.Placer = fixture.owner
+	fixture.UpdateEngines(placementView(ownerName), 1)
+	return fixture
+}
+
+// placementRoles are the roles of the fixture's engines.
+var placementRoles = []string{pairing.RolePrefill, pairing.RolePrefill, pairing.RoleDecode, pairing.RoleDecode}
+
+// placementView has the fixture's engines, and a router that owns them.
+func placementView(ownerName string) registry.View {
 	view := registry.View{Engines: map[string]registry.Engine{}, Assignments: map[string]pairing.Assignment{}}
-	for index, role := range roles {
-		name := []string{"engine-0", "engine-1", "engine-2", "engine-3"}[index]
+	for index, role := range placementRoles {
+		name := fmt.Sprintf("engine-%d", index)
 		view.Engines[name] = registry.Engine{
 			Name:        name,
 			Incarnation: name,
@@ -80,8 +111,7 @@
 		Service:         "model",
 		PlacementOwners: []pairing.PlacementOwner{{Router: ownerName, Address: "10.0.0.9:1", Zone: "norte"}},
 	}
-	fixture.UpdateEngines(view, 1)
-	return fixture
+	return view
 }
 
 // placed has the owner answer with a placement.
@@ -220,3 +250,115 @@
 		t.Errorf("%d samples of three prefills arrived with the queries after them", prefills)
 	}
 }
+
+// silentPrefiller is an engine that never answers prefill calls; all else is answered.
+type silentPrefiller struct {
+	recordingEngines
+	lock  sync.Mutex
+	calls int
+}
+
+func (s *silentPrefiller) Prefill(
+	ctx context.Context, _ platformport.Attempt,
+) (platformport.KVHandle, platformport.Outcome, error) {
+	s.lock.Lock()
+	s.calls++
+	s.lock.Unlock()
+	<-ctx.Done()
+	return platformport.KVHandle{}, platformport.OutcomeUnknown, ctx.Err()
+}
+
+// newSilentFixture returns a fixture whose prefill engines never answer, on the real clock of its bubble.
+func newSilentFixture(t *testing.T) *placementFixture {
+	t.Helper()
+	fixture := newPlacementFixture(t, "owner")
+	options := proxy.Options{Options: balancer.Options{Router: "r", Zone: "norte"}, RetryRatio: 0.2, RetryBurst: 60}
+	fixture.Proxy = proxy.New(options, clock.New(), &silentPrefiller{})
+	earnRetryTokens(fixture.Proxy, 100, silentRoutes())
+	fixture.Placer = fixture.owner
+	fixture.UpdateEngines(placementView("owner"), 1)
+	fixture.placed("engine-0", "engine-2")
+	return fixture
+}
+
+// silentRoutes has a route of one attempt with targets.
+func silentRoutes() route.Table {
+	routes := singleRoute(1, false)
+	flag := routes.Routes["flag"]
+	flag.EventTimeout = 200 * clock.Millisecond
+	routes.Routes["flag"] = flag
+	return routes
+}
+
+// An owner is told of an engine that shows nothing, once in a while only, however many calls it owes.
+func TestPlacement_OwnerIsToldOfSilentEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newSilentFixture(t)
+		var group sync.WaitGroup
+		for range 10 {
+			group.Go(func() { forward(fixture.Proxy, newLongPromptRequest()) })
+		}
+		group.Wait()
+		fixture.WaitForBackground()
+		close(fixture.owner.reports)
+		count := 0
+		for report := range fixture.owner.reports {
+			count++
+			if report.Incarnation != "engine-0" || report.Check() != nil {
+				t.Errorf("%+v", report)
+			}
+		}
+		if count == 0 || count > 5 {
+			t.Errorf("%d reports of one engine", count)
+		}
+	})
+}
+
+// A request whose prefill failed is not computed by a decoder that would pause other responses for it: the
+// client is told to come back. Where nobody is disturbed it is served.
+func TestPlacement_FailedPrefillPausesNoOthers(t *testing.T) {
+	for _, testCase := range []struct{ pausedRuns, left int }{{0, 0}, {1, 0}, {5, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newSilentFixture(t)
+			fixture.owner.onQuery = func(query *placement.Query) {
+				if query.NoSplit {
+					fixture.owner.answer.Prefiller = ""
+					fixture.owner.answer.PausedRuns = testCase.pausedRuns
+				}
+			}
+			request := newLongPromptRequest()
+			request.Timeout = 4 * clock.Second
+			recorder, _ := forward(fixture.Proxy, request)
+			fixture.WaitForBackground()
+			if left := fixture.LeftForOthers.Load(); left != int64(testCase.left) {
+				t.Errorf("%d responses would be paused: %d requests left", testCase.pausedRuns, left)
+			}
+			if rejected := recorder.code == errcode.NoEngine && recorder.retryAfter > 0; rejected != (testCase.left > 0) {
+				t.Errorf("%d responses would be paused: %v, retry after %d µs",
+					testCase.pausedRuns, recorder.code, recorder.retryAfter)
+			}
+		})
+	}
+}
+
+func TestHandleEngineReport_MalformedIsIgnored(t *testing.T) {
+	fixture := newPlacementFixture(t, "r")
+	fixture.HandleEngineReport(&placement.EngineReport{Router: "other"})
+	if fixture.EngineReports.Load() != 0 {
+		t.Error("a malformed report counts")
+	}
+	report := &placement.EngineReport{Router: "other", Service: "model", Incarnation: "engine-0"}
+	fixture.HandleEngineReport(report)
+	if fixture.EngineReports.Load() != 1 {
+		t.Error("a report does not count")
+	}
+	for number := range 4 {
+		answer, err := fixture.Place(&placement.Query{
+			Router: "other", Zone: "norte", Service: "model", Key: fmt.Sprint(number),
+			Prompt: []placement.Chunk{{Name: fmt.Sprint(number), Tokens: 8000}},
+		})
+		if err != nil || answer.Prefiller != "engine-1" {
+			t.Errorf("placed at %q, %v", answer.Prefiller, err)
+		}
+	}
+}
--- a/internal/dataplane/proxy/prefill.go
+++ b/internal/dataplane/proxy/prefill.go
@@ -126,11 +126,8 @@
 func (f *forwardedRequest) releaseKV(ctx context.Context, address, source string) {
 	kvHandle := source[len(address)+1:]
 	f.proxy.KVReleased.Add(1)
-	background := context.WithoutCancel(ctx)
-	go func() {
-		releaseCtx, cancel := context.WithTimeout(background, releaseTimeout.Duration())
-		defer cancel()
+	f.proxy.runInBackground(ctx, releaseTimeout, func(ctx context.Context) {
 		// A KV cache that is not released expires at the engine.
-		_ = f.proxy.engineClient.ReleaseKV(releaseCtx, address, kvHandle)
-	}()
+		_ = f.proxy.engineClient.ReleaseKV(ctx, address, kvHandle)
+	})
 }
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -36,6 +36,8 @@
 	balancers map[string]*balancer.Balancer
 	// migratingEngines holds the incarnations from which a stream is being migrated.
 	migratingEngines map[string]bool
+	// background are the calls that outlive their requests.
+	background sync.WaitGroup
 	// OnSuspect, if set, is called when an engine did not answer. It must be set before the first
 	// request, and may be called concurrently.
 	OnSuspect func(service, incarnation string)
--- a/internal/dataplane/proxy/response.go
+++ b/internal/dataplane/proxy/response.go
@@ -132,7 +132,7 @@
 // ended.
 func (f *forwardedRequest) recordTruncation(ctx context.Context, decoder platformport.Engine) {
 	if ctx.Err() == nil {
-		f.reportEngineFailure(f.now(), decoder.Incarnation, false)
+		f.reportEngineFailure(ctx, f.now(), decoder.Incarnation, false)
 		f.excluded[decoder.Incarnation] = true
 	}
 }
--- a/internal/dataplane/proxy/watchdog.go
+++ b/internal/dataplane/proxy/watchdog.go
@@ -31,8 +31,10 @@
 	mayCancel bool
 	timeout   clock.Microseconds
 	// deadline is when the timeout has passed, nextCheck when the timer is set to fire.
-	deadline        clock.Microseconds
-	nextCheck       clock.Microseconds
+	deadline  clock.Microseconds
+	nextCheck clock.Microseconds
+	// overdueReported is set once the engine's owner was told that the engine has shown nothing.
+	overdueReported bool
 	failureRecorded bool
 	stopped         bool
 }
@@ -79,9 +81,12 @@
 		w.reschedule(now, w.deadline-now)
 		return
 	}
+	if !w.overdueReported {
+		w.overdueReported = true
+		w.request.proxy.reportEngine(context.Background(), w.request.service, w.incarnation)
+	}
 	if w.mayCancel && w.request.retryAccount.acquireTokens(w.request.proxy.retryBudget.Withdraw) {
 		w.request.proxy.TimedOut.Add(1)
-		w.request.proxy.placements.recordOverdue(now, w.request.service, w.incarnation)
 		w.cancel()
 		return
 	}
@@ -99,7 +104,6 @@
 	}
 	w.failureRecorded = true
 	w.request.balancer.RecordError(now, w.incarnation)
-	w.request.proxy.placements.recordOverdue(now, w.request.service, w.incarnation)
 	report := w.request.proxy.OnSuspect
 	// An engine that has responded to other requests meanwhile has more than a long queue.
 	if report != nil && w.request.balancer.ActiveSince(w.incarnation, w.startedAt) {
--- a/internal/dataplane/router/data_plane.go
+++ b/internal/dataplane/router/data_plane.go
@@ -27,6 +27,8 @@
 	HandleSuspect(service, incarnation string)
 	// Place answers another router's query for a placement.
 	Place(query *placement.Query) (*placement.Answer, error)
+	// HandleEngineReport receives another router's report about an engine that this router owns.
+	HandleEngineReport(report *placement.EngineReport)
 }
 
 // SetDataPlane has a data plane follow the control plane. It comes before Run.
--- a/internal/dataplane/router/placement.go
+++ b/internal/dataplane/router/placement.go
@@ -12,7 +12,9 @@
 const (
 	// placementPath is the procedure by which a router asks a placement owner.
 	placementPath = "/router/place"
-	// placementCallTimeout bounds the call where the caller's context allows longer.
+	// engineReportPath is the procedure by which a router tells the owner of an engine that a call failed.
+	engineReportPath = "/router/engine-report"
+	// placementCallTimeout bounds both calls where the caller's context allows longer.
 	placementCallTimeout = 100 * clock.Millisecond
 )
 
@@ -24,8 +26,18 @@
 	return transport.Call[placement.Query, placement.Answer](ctx, r.internal, target, query)
 }
 
-// registerPlacementHandler serves other routers' queries. Without a data plane nothing is placed.
-func (r *Router) registerPlacementHandler() {
+// ReportEngine tells the owner of an engine that a call to it failed or takes longer than expected.
+func (r *Router) ReportEngine(
+	ctx context.Context, owner pairing.PlacementOwner, report *placement.EngineReport,
+) error {
+	target := transport.Target{Address: owner.Address, Procedure: engineReportPath, Timeout: placementCallTimeout}
+	_, err := transport.Call[placement.EngineReport, placement.EngineReportAnswer](ctx, r.internal, target, report)
+	return err
+}
+
+// registerPlacementHandlers serves other routers' queries and reports. Without a data plane nothing is
+// placed.
+func (r *Router) registerPlacementHandlers() {
 	transport.Handle(r.internal, placementPath, func(
 		_ context.Context, query *placement.Query,
 	) (*placement.Answer, error) {
@@ -34,4 +46,12 @@
 		}
 		return r.dataPlane.Place(query)
 	})
+	transport.Handle(r.internal, engineReportPath, func(
+		_ context.Context, report *placement.EngineReport,
+	) (*placement.EngineReportAnswer, error) {
+		if r.dataPlane != nil {
+			r.dataPlane.HandleEngineReport(report)
+		}
+		return &placement.EngineReportAnswer{Taken: 1}, nil
+	})
 }
--- a/internal/dataplane/router/router.go
+++ b/internal/dataplane/router/router.go
@@ -121,7 +121,7 @@
 		StreamIdleTimeout: clock.Microseconds(cfg.StreamIdleMillis) * clock.Millisecond,
 	})
 	router.registerSuspectHandler()
-	router.registerPlacementHandler()
+	router.registerPlacementHandlers()
 	return router, nil
 }
 
