Spare requests with a single attempt from being probes

Change: an owner places requests of routes with one attempt at an engine on probation only if no other is left.

--- a/internal/dataplane/balancer/eligibility.go
+++ b/internal/dataplane/balancer/eligibility.go
@@ -26,6 +26,8 @@
 	BodyBytes int
 	// NoSplit forbids prefilling and decoding at two engines.
 	NoSplit bool
+	// SingleAttempt says that the request gets no further prefill engine if the first one rejects it.
+	SingleAttempt bool
 	// NonRetryable says that the request is lost if its engine fails.
 	NonRetryable bool
 	// Key tells requests apart, so that routers that know nothing of an engine's load don't all
@@ -56,8 +58,8 @@
 			decoders = append(decoders, engine)
 		}
 	}
-	prefillers = b.withoutSuspects(now, prefillers)
-	decoders = b.withoutSuspects(now, decoders)
+	prefillers = b.withoutSuspects(now, requirements, prefillers)
+	decoders = b.withoutSuspects(now, requirements, decoders)
 	b.setFailurePenalties(now, prefillers)
 	b.setFailurePenalties(now, decoders)
 	return prefillers, decoders
@@ -85,12 +87,17 @@
 	return len(requirements.AllowedRegions) == 0 || slices.Contains(requirements.AllowedRegions, region)
 }
 
-// withoutSuspects leaves out engines that are ejected or lagging, unless all are. It returns the
-// rest by incarnation.
-func (b *Balancer) withoutSuspects(now clock.Microseconds, engines []*engineState) []*engineState {
+// withoutSuspects leaves out engines that are ejected or lagging, and for a request that has a single attempt
+// also those on probation, unless all are. It returns the rest by incarnation.
+func (b *Balancer) withoutSuspects(
+	now clock.Microseconds,
+	requirements Requirements,
+	engines []*engineState,
+) []*engineState {
 	trusted := make([]*engineState, 0, len(engines))
 	for _, engine := range engines {
-		if !engine.ejected(now) && !engine.lagging(now, b.prefillRate) {
+		onProbation := requirements.SingleAttempt && now < engine.probationUntil
+		if !onProbation && !engine.ejected(now) && !engine.lagging(now, b.prefillRate) {
 			trusted = append(trusted, engine)
 		}
 	}
--- a/internal/dataplane/balancer/shared_placement_test.go
+++ b/internal/dataplane/balancer/shared_placement_test.go
@@ -248,3 +248,25 @@
 		}
 	}
 }
+
+// A request that has no second attempt is no probe.
+func TestPlace_SingleAttemptsAvoidEnginesOnProbation(t *testing.T) {
+	owner := newOwnerBalancer(newEngines(pairing.RolePrefill, pairing.RolePrefill, pairing.RoleDecode))
+	owner.RecordOverdue(clock.Second, engineName(0))
+	now := clock.Second + 800*clock.Millisecond
+	probed := false
+	for number := range 6 {
+		requirements := unsharedRequest(number, 4000)
+		requirements.SingleAttempt = true
+		single, _ := owner.Place(now, requirements, 1)
+		if single.Prefiller.Incarnation != engineName(1) {
+			t.Errorf("a request with a single attempt is placed at %q", single.Prefiller.Incarnation)
+		}
+		several, _ := owner.Place(now, unsharedRequest(100+number, 4000), 1)
+		probed = probed || several.Prefiller.Incarnation == engineName(0)
+		now += 10 * clock.Second / 100
+	}
+	if !probed {
+		t.Error("no other request is placed at the engine on probation either")
+	}
+}
--- a/internal/dataplane/placement/message.go
+++ b/internal/dataplane/placement/message.go
@@ -52,6 +52,8 @@
 	MaxTokens    int
 	Urgency      int
 	NonRetryable bool
+	// SingleAttempt says that the request gets no further prefill engine if the first one rejects it.
+	SingleAttempt bool
 	// NoSplit forbids prefilling and decoding at two engines.
 	NoSplit bool
 	// EventTimeoutMicros is the longest pause between two events that the route aims at, 0 for none.
--- a/internal/dataplane/proxy/forwarded_request.go
+++ b/internal/dataplane/proxy/forwarded_request.go
@@ -125,6 +125,7 @@
 		EventTimeout:    f.route.EventTimeout,
 		BodyBytes:       len(f.request.Body),
 		NoSplit:         prefillUsedUp || len(f.request.Prompt) == 0,
+		SingleAttempt:   f.route.MaxAttempts <= 1,
 		NonRetryable:    !f.route.IsRetryable(),
 		Key:             f.request.RequestID,
 		ExcludedEngines: f.excluded,
--- a/internal/dataplane/proxy/placement.go
+++ b/internal/dataplane/proxy/placement.go
@@ -183,6 +183,7 @@
 		Urgency:         query.Urgency,
 		Router:          query.Router,
 		Zone:            query.Zone,
+		SingleAttempt:   query.SingleAttempt,
 		NoSplit:         query.NoSplit,
 		EventTimeout:    clock.Microseconds(query.EventTimeoutMicros),
 		NonRetryable:    query.NonRetryable,
@@ -275,15 +276,17 @@
 // placementQuery is the query for the request's next attempt.
 func (f *forwardedRequest) placementQuery(requirements balancer.Requirements) *placement.Query {
 	query := &placement.Query{
-		Router:       f.proxy.Router,
-		Zone:         f.proxy.Zone,
-		Service:      f.service,
-		Key:          requirements.Key,
-		BodyBytes:    requirements.BodyBytes,
-		MaxTokens:    f.request.MaxTokens,
-		Urgency:      requirements.Urgency,
-		NoSplit:      requirements.NoSplit,
-		NonRetryable: requirements.NonRetryable,
+		Router:    f.proxy.Router,
+		Zone:      f.proxy.Zone,
+		Service:   f.service,
+		Key:       requirements.Key,
+		BodyBytes: requirements.BodyBytes,
+		MaxTokens: f.request.MaxTokens,
+		Urgency:   requirements.Urgency,
+		NoSplit:   requirements.NoSplit,
+
+		SingleAttempt: requirements.SingleAttempt,
+		NonRetryable:  requirements.NonRetryable,
 
 		EventTimeoutMicros: int64(requirements.EventTimeout),
 	}
