--- a/internal/dataplane/balancer/prefill_model.go
+++ b/internal/dataplane/balancer/prefill_model.go
@@ -30,6 +30,8 @@
 	// maxSurprise bounds the factor between an observation and the present estimate: an engine that hangs
 	// once must not count more than a dozen that work, and a wrong estimate is corrected step by step.
 	maxSurprise = 2.0
+	// maxEquivalence bounds how many times its tokens a prompt counts.
+	maxEquivalence = 8
 	// maxPrefillTerm bounds each coefficient, in milliseconds.
 	maxPrefillTerm = 2000
 )
@@ -93,6 +95,13 @@
 		maxPrefillRate)
 }
 
+// EquivalentTokens returns how many tokens without any before them keep an engine busy for as long as some
+// tokens after a cached prefix do.
+func (p *PrefillModel) EquivalentTokens(tokens, cached int) int {
+	milliseconds := float64(p.Busy(tokens, cached)) / float64(clock.Millisecond)
+	return max(tokens, int(min(milliseconds*p.Rate(), maxEquivalence*float64(tokens))))
+}
+
 // Observe records how long a call took that found no queue.
 func (p *PrefillModel) Observe(tokens, cached int, elapsed clock.Microseconds) {
 	sizes := prefillSizes(tokens, cached)
--- a/internal/dataplane/balancer/shared_placement.go
+++ b/internal/dataplane/balancer/shared_placement.go
@@ -63,7 +63,8 @@
 	decoder := b.engine(selection.Decoder.Incarnation)
 	if selection.Split {
 		prefiller := b.engine(selection.Prefiller.Incarnation)
-		prefiller.backlog.add(requirements.Urgency, selection.UncachedTokens)
+		cached := totalTokens(requirements.Prompt) - selection.UncachedTokens
+		prefiller.backlog.add(requirements.Urgency, b.prefillModel.EquivalentTokens(selection.UncachedTokens, cached))
 		prefiller.recordCached(now, requirements.Prompt)
 		prefiller.limitProbation(now)
 		startsAt += selection.PrefillWait + selection.PrefillTime
