--- a/cmd/coursepass-faulttest/main.go
+++ b/cmd/coursepass-faulttest/main.go
@@ -20,6 +20,7 @@
 	Rollout    faulttest.Rollout    `command:"rollout" description:"change the configuration of a fleet of real processes from several operators at once, and measure when it is in force"`
 	Processes  faulttest.Processes  `command:"processes" description:"run a load over a fleet of real processes and inject a fault"`
 	ModelCheck faulttest.ModelCheck `command:"model-check" description:"search the states of a small group of control plane servers"`
+	Lateness   faulttest.Lateness   `command:"lateness" description:"say why requests were late or not served, from the log of routers"`
 	Golden     compat.Golden        `command:"golden" description:"write the golden files of everything that is sent between daemons or stored on disk"`
 }
 
@@ -33,6 +34,7 @@
 		"rollout":     &c.Rollout,
 		"processes":   &c.Processes,
 		"model-check": &c.ModelCheck,
+		"lateness":    &c.Lateness,
 		"golden":      &c.Golden,
 	}
 }
--- a/internal/controlplane/engineplan/placement_owners_test.go
+++ b/internal/controlplane/engineplan/placement_owners_test.go
@@ -69,8 +69,11 @@
 
 func TestPlacementOwners_StayWhileTheyAreActive(t *testing.T) {
 	engines, routers := slices.Concat(enginesIn("norte", 90), enginesIn("sur", 30)), newRouters(9, "norte", "sur")
-	committed := PlacementOwners("s", nil, routers[1:], engines)
-	again := PlacementOwners("s", committed, append(newRouters(4, "este"), routers...), engines)
+	committed := PlacementOwners("s", nil, newRouters(4, "norte", "sur"), engines)
+	if slices.Equal(committed, PlacementOwners("s", nil, routers, engines)) {
+		t.Fatal("further routers would not be chosen first: the test shows nothing")
+	}
+	again := PlacementOwners("s", committed, routers, engines)
 	if !slices.Equal(again, committed) {
 		t.Errorf("more routers change the owners from %v to %v", committed, again)
 	}
--- a/internal/dataplane/balancer/shared_placement_test.go
+++ b/internal/dataplane/balancer/shared_placement_test.go
@@ -201,20 +201,25 @@
 }
 
 // An engine that fails again whenever it is tried gets one request at a time, and more and more rarely.
+// That a request failed is heard 200 ms after it was placed.
 func TestPlace_ProbesAnEjectedEngineWithSingleRequests(t *testing.T) {
 	engines := newEngines(pairing.RolePrefill, pairing.RolePrefill, pairing.RoleDecode, pairing.RoleDecode)
 	owner := newOwnerBalancer(engines)
 	broken := engineName(0)
 	owner.RecordOverdue(clock.Second, broken)
 	victims := 0
+	var failures []clock.Microseconds
 	for number := range 1000 {
 		now := clock.Second + clock.Microseconds(number)*10*clock.Millisecond
+		for len(failures) > 0 && failures[0] <= now {
+			owner.RecordOverdue(now, broken)
+			failures = failures[1:]
+		}
 		selection, _ := owner.Place(now, unsharedRequest(number, 2000), sharedPlacementTokens)
-		if selection.Prefiller.Incarnation != broken {
-			continue
+		if selection.Prefiller.Incarnation == broken {
+			victims++
+			failures = append(failures, now+200*clock.Millisecond)
 		}
-		victims++
-		owner.RecordOverdue(now+200*clock.Millisecond, broken)
 	}
 	if victims == 0 || victims > 8 {
 		t.Errorf("%d of 1000 requests in ten seconds are placed at an engine that fails all", victims)
@@ -222,7 +227,11 @@
 }
 
 func TestPlace_SparesRunningResponsesLongPauses(t *testing.T) {
-	owner := newOwnerBalancer(newEngines(pairing.RoleDecode, pairing.RoleDecode))
+	engines := newEngines(pairing.RoleDecode, pairing.RoleDecode, pairing.RolePrefill)
+	for index := range engines {
+		engines[index].Slots = 64
+	}
+	owner := newOwnerBalancer(engines)
 	place := func(number, tokens int) balancer.Selection {
 		requirements := unsharedRequest(number, tokens)
 		requirements.EventTimeout = 200 * clock.Millisecond
@@ -242,13 +251,22 @@
 	if long.PausedRuns == 0 {
 		t.Error("a long prompt at a decoder with responses pauses none")
 	}
-	for number := range 4 {
-		if selection := place(200+number, 100); selection.Decoder == long.Decoder {
-			t.Error("a response is placed at a decoder that computes a long prompt, beside one that does not")
+	// Requests whose prompts are computed elsewhere go to the other decoder, though it has more responses.
+	for number := range 12 {
+		selection, ok := owner.Place(clock.Second, splitRequest(200+number), 4000)
+		if !ok || selection.Decoder == long.Decoder {
+			t.Errorf("response %d is placed at %q, which computes a long prompt", number, selection.Decoder.Incarnation)
 		}
 	}
 }
 
+// splitRequest has a prompt that a prefill engine computes, and a target for pauses.
+func splitRequest(number int) balancer.Requirements {
+	requirements := unsharedRequest(number, 4000)
+	requirements.EventTimeout = 200 * clock.Millisecond
+	return requirements
+}
+
 // A request that has no second attempt is no probe.
 func TestPlace_SingleAttemptsAvoidEnginesOnProbation(t *testing.T) {
 	owner := newOwnerBalancer(newEngines(pairing.RolePrefill, pairing.RolePrefill, pairing.RoleDecode))
--- a/internal/dataplane/proxy/placement_test.go
+++ b/internal/dataplane/proxy/placement_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"coursepass/internal/clock"
 	"coursepass/internal/dataplane/balancer"
@@ -362,3 +363,28 @@
 		}
 	}
 }
+
+// hangingOwner answers no query before the caller gives up.
+type hangingOwner struct{ scriptedOwner }
+
+func (*hangingOwner) AskPlacement(
+	ctx context.Context, _ pairing.PlacementOwner, _ *placement.Query,
+) (*placement.Answer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// A request waits no longer for its owner than a fraction of any target.
+func TestPlacement_HangingOwnerDelaysNoRequestForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newPlacementFixture(t, "owner")
+		fixture.Placer = &hangingOwner{}
+		startedAt := time.Now()
+		if _, completed := forward(fixture.Proxy, newLongPromptRequest()); !completed {
+			t.Fatal("not completed")
+		}
+		if waited := time.Since(startedAt); waited > 50*time.Millisecond {
+			t.Errorf("waited %v", waited)
+		}
+	})
+}
--- /dev/null
+++ b/internal/dataplane/proxy/timing_test.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"testing"
+
+	"coursepass/internal/clock"
+	"coursepass/internal/state/route"
+)
+
+func TestEndOf_NamesThePhaseThatTookLongest(t *testing.T) {
+	target := &route.Route{StartTimeout: 400 * clock.Millisecond, EventTimeout: 200 * clock.Millisecond}
+	for _, testCase := range []struct {
+		name      string
+		timing    requestTiming
+		served    bool
+		wantEnd   requestEnd
+		wantPhase string
+	}{
+		{"in time", requestTiming{timeToHead: 300 * clock.Millisecond}, true, endInTime, "queue"},
+		{
+			"a late first event",
+			requestTiming{
+				timeToHead: 500 * clock.Millisecond,
+				phases:     [requestPhaseCount]clock.Microseconds{phasePrefillWait: 300, phasePrefill: 100},
+			},
+			true, endLate, "prefill_wait",
+		},
+		{
+			"a pause after a first event in time",
+			requestTiming{timeToHead: 300 * clock.Millisecond, longestPause: 250 * clock.Millisecond},
+			true, endLate, phasePause,
+		},
+		{
+			"no response",
+			requestTiming{phases: [requestPhaseCount]clock.Microseconds{phaseFailedCalls: 600}},
+			false, endNotServed, "failed_calls",
+		},
+	} {
+		forwarded := &forwardedRequest{route: target, timing: testCase.timing, headWritten: testCase.served}
+		end, phase := forwarded.endOf(testCase.served)
+		if end != testCase.wantEnd || phase != testCase.wantPhase {
+			t.Errorf("%s: %s, %s", testCase.name, end, phase)
+		}
+	}
+}
+
+func TestRequestTiming_DividesPrefillAndFindsPauses(t *testing.T) {
+	timing := requestTiming{}
+	timing.addPrefill(500, 200)
+	timing.addPrefill(100, 200)
+	if timing.phases[phasePrefill] != 300 || timing.phases[phasePrefillWait] != 300 {
+		t.Errorf("%v", timing.phases)
+	}
+	for _, now := range []clock.Microseconds{1000, 1100, 1500, 1600} {
+		timing.recordData(now)
+	}
+	if timing.longestPause != 400 {
+		t.Errorf("longest pause %d µs", timing.longestPause)
+	}
+}
+
+func TestRateLimitedLog_KeepsItsRate(t *testing.T) {
+	if (&rateLimitedLog{}).allow(clock.Second) {
+		t.Error("a rate of zero allows a line")
+	}
+	limited := rateLimitedLog{perSecond: 2}
+	lines := 0
+	for step := range 1000 {
+		if limited.allow(clock.Second + clock.Microseconds(step)*10*clock.Millisecond) {
+			lines++
+		}
+	}
+	if lines < 19 || lines > 31 {
+		t.Errorf("%d lines in ten seconds at two a second", lines)
+	}
+}
