--- a/internal/consensus/state_machine.go
+++ b/internal/consensus/state_machine.go
@@ -27,11 +27,11 @@
 
 // TakeSnapshot returns the applied state with the membership that was committed with it.
 func (r *Replica) TakeSnapshot() []byte {
-	return r.SnapshotOf(r.stateMachine.Snapshot())
+	return EncodeSnapshot(r.appliedMembership, r.stateMachine.Snapshot())
 }
 
-// SnapshotOf returns a state with the membership that was committed with the applied one.
-func (r *Replica) SnapshotOf(state []byte) []byte { return EncodeSnapshot(r.appliedMembership, state) }
+// AppliedMembership returns the membership that was committed with the applied state.
+func (r *Replica) AppliedMembership() Membership { return r.appliedMembership }
 
 // restoreSnapshot replaces state and applied membership. A snapshot that can't be decoded is
 // ignored.
--- a/internal/controlplane/replication/options.go
+++ b/internal/controlplane/replication/options.go
@@ -26,7 +26,7 @@
 	// SlotLost is called when a replica has ended because its slot is another server's.
 	SlotLost(shard int, now clock.Microseconds)
 	// PublishState publishes the state of a shard to the other daemons. It is called in a goroutine of its own.
-	PublishState(ctx context.Context, update gossip.Update)
+	PublishState(ctx context.Context, update gossip.Update, state gossip.State)
 }
 
 // Options of a replica.
--- a/internal/controlplane/replication/shard_replica_test.go
+++ b/internal/controlplane/replication/shard_replica_test.go
@@ -28,7 +28,7 @@
 
 func (r *recordingServer) StateApplied(int, clock.Microseconds) {}
 
-func (r *recordingServer) PublishState(context.Context, gossip.Update) {}
+func (r *recordingServer) PublishState(context.Context, gossip.Update, gossip.State) {}
 
 func (r *recordingServer) SlotLost(int, clock.Microseconds) {
 	r.lock.Lock()
--- a/internal/controlplane/replication/state_transfer.go
+++ b/internal/controlplane/replication/state_transfer.go
@@ -14,8 +14,7 @@
 // maxPublishedEntries is how many entries are published with a state at most.
 const maxPublishedEntries = 64
 
-// publishState publishes the applied state to gossip, as a snapshot and as the entries since the state last
-// changed. Indexes after that have the same state and are not pushed, so a peer may have any of them.
+// publishState publishes the applied state to gossip, and the entries since the state last changed. Indexes after that have the same state and are not pushed, so a peer may have any of them.
 func (r *ShardReplica) publishState(ctx context.Context, status *controlapi.ShardStatus) {
 	head := gossip.Head{
 		Shard:    r.options.Shard,
@@ -24,15 +23,12 @@
 		Revision: status.Revision,
 		Epoch:    status.Epoch,
 	}
-	update := gossip.Update{
-		Head:    head,
-		Data:    r.replica.SnapshotOf(r.options.StateMachine.PublishedSnapshot()),
-		Entries: r.publishedEntries(head.Index),
-	}
+	update := gossip.Update{Head: head, Entries: r.publishedEntries(head.Index)}
+	state := shardstate.Publish(r.replica.AppliedMembership(), r.options.StateMachine)
 	if r.publishedHead.Index == 0 || !head.SameState(r.publishedHead) {
 		r.publishedHead = head
 	}
-	go r.options.Server.PublishState(ctx, update)
+	go r.options.Server.PublishState(ctx, update, state)
 }
 
 // publishedEntries returns the last entries up to an index that routers apply to the published state, or nil
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -125,7 +125,7 @@
 	server.trueTime = timesync.NewClock(serverSettings.InternalAddress, server.clock, transport.NewWallClock(network))
 	server.internalTransport = transport.NewInternal(serverSettings.Fleet, server.meter, network)
 	view := peers.NewView(server.Node, peerViewSize, peerShuffleSize, incarnation)
-	store := gossip.NewStore(shardstate.ApplyEntries, nil)
+	store := gossip.NewStore(shardstate.Decode, nil)
 	server.gossip = peers.NewGossip(peers.Options{
 		View:      view,
 		Store:     store,
--- a/internal/controlplane/shard_host.go
+++ b/internal/controlplane/shard_host.go
@@ -37,6 +37,6 @@
 }
 
 // PublishState gives the state of a shard to gossip.
-func (h shardHost) PublishState(ctx context.Context, update gossip.Update) {
-	h.server.gossip.Publish(ctx, update)
+func (h shardHost) PublishState(ctx context.Context, update gossip.Update, state gossip.State) {
+	h.server.gossip.Publish(ctx, update, state)
 }
--- a/internal/controlplane/shardstate/state_machine.go
+++ b/internal/controlplane/shardstate/state_machine.go
@@ -3,8 +3,9 @@
 package shardstate
 
 import (
+	"fmt"
+
 	"coursepass/internal/consensus"
-	"coursepass/internal/consensus/wal"
 	"coursepass/internal/gossip"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/outbox"
@@ -15,15 +16,27 @@
 type StateMachine interface {
 	consensus.StateMachine
 	CurrentRevision() uint64
-	// PublishedSnapshot returns the state as routers get it. States of one revision are equal in it.
-	PublishedSnapshot() []byte
 }
 
-func newStateMachine(shard int) StateMachine {
+// decodeMachine decodes the snapshot of a shard's state machine; false if it is malformed.
+func decodeMachine(shard int, snapshot []byte) (StateMachine, bool) {
 	if shard == 0 {
-		return config.NewState()
+		return config.DecodeState(snapshot)
+	}
+	return registry.DecodeState(snapshot)
+}
+
+// published returns a copy of a state as routers get it, which stays as it is when the state changes. States of
+// one revision are equal in it.
+func published(state StateMachine) StateMachine {
+	switch typed := state.(type) {
+	case *config.State:
+		return typed.Clone()
+	case *registry.State:
+		return typed.Published()
+	default:
+		panic(fmt.Sprintf("no shard has a state of type %T", state))
 	}
-	return registry.NewState()
 }
 
 // PublishedEntry returns an entry of a shard's log as routers get it: without the data if that is an operation
@@ -35,22 +48,3 @@
 	}
 	return entry
 }
-
-// ApplyEntries returns the snapshot of a shard that results from an earlier snapshot and the log entries
-// after it; false if they don't lead to the given revision. Every server and router applies operations
-// alike, so entries can travel in place of snapshots.
-func ApplyEntries(shard int, data []byte, entries []gossip.Entry, revision uint64) ([]byte, bool) {
-	membership, snapshot, valid := consensus.DecodeSnapshot(data)
-	if !valid {
-		return nil, false
-	}
-	state := newStateMachine(shard)
-	state.Restore(snapshot)
-	for _, entry := range entries {
-		consensus.ApplyEntry(state, &membership, wal.Entry{Index: entry.Index, Term: entry.Term, Data: entry.Data})
-	}
-	if state.CurrentRevision() != revision {
-		return nil, false
-	}
-	return consensus.EncodeSnapshot(membership, state.Snapshot()), true
-}
--- a/internal/controlplane/shardstate/state_machine_test.go
+++ b/internal/controlplane/shardstate/state_machine_test.go
@@ -32,7 +32,7 @@
 // entryUpdates returns a store that has all updates, and the updates: each registers an engine, and all but
 // the first have entries only.
 func entryUpdates() (*gossip.Store, []gossip.Update, map[uint64]int) {
-	source, updates := gossip.NewStore(shardstate.ApplyEntries, nil), []gossip.Update{}
+	source, updates := gossip.NewStore(shardstate.Decode, nil), []gossip.Update{}
 	state := registry.NewState()
 	engineCounts := map[uint64]int{0: 0}
 	for index := uint64(1); index <= lastUpdateIndex; index++ {
@@ -95,12 +95,12 @@
 // Four states follow each other; their entries arrive in every order, each of them once, twice, with one
 // missing, or malformed. A store only ever has a state that the log has had, and after one comparison with a
 // complete store it has the last.
-func TestApplyEntries_StoreReconstructsState(t *testing.T) {
+func TestPublishedState_StoreReconstructsState(t *testing.T) {
 	source, updates, engineCounts := entryUpdates()
 	appliedCount, repairedCount := 0, 0
 	simulation.Permutations(lastUpdateIndex, func(permutation []int) {
 		for fault := range faultCount {
-			store := gossip.NewStore(shardstate.ApplyEntries, nil)
+			store := gossip.NewStore(shardstate.Decode, nil)
 			for _, position := range permutation {
 				deliver(store, updates[position], position, fault)
 				if index, count := storedEngines(store); count != engineCounts[index] {
@@ -143,7 +143,7 @@
 		})
 	}
 	Convey("only changes of the registry change the published state", t, func() {
-		store := gossip.NewStore(shardstate.ApplyEntries, nil)
+		store := gossip.NewStore(shardstate.Decode, nil)
 		for position, changed := range []bool{true, false, false, true} {
 			So(store.Accept(updates[position]), ShouldEqual, changed)
 		}
@@ -153,7 +153,7 @@
 	})
 	Convey("a store with any earlier index of the state applies the next change", t, func() {
 		for known := range 3 {
-			store := gossip.NewStore(shardstate.ApplyEntries, nil)
+			store := gossip.NewStore(shardstate.Decode, nil)
 			store.Accept(updates[known])
 			last := updates[3]
 			last.Data = nil
--- a/internal/dataplane/router/config_activation.go
+++ b/internal/dataplane/router/config_activation.go
@@ -6,11 +6,8 @@
 	"coursepass/internal/state/config"
 )
 
-// installConfig takes the state of the shard with the configuration.
-func (r *Router) installConfig(snapshot []byte) {
-	state := config.NewState()
-	state.Restore(snapshot)
-	view := state.View()
+// installConfig takes the configuration of its shard.
+func (r *Router) installConfig(view config.View) {
 	r.maintenance.Update(r.clock.Now(), view.MaintenanceWindows)
 	r.offerConfig(&view)
 }
--- a/internal/dataplane/router/freshness_reads.go
+++ b/internal/dataplane/router/freshness_reads.go
@@ -193,12 +193,13 @@
 	var offer controlapi.SnapshotOffer
 	behind := false
 	for _, head := range response.Heads {
-		update, ok := r.gossip.Get(head.Shard)
+		stored, ok := r.gossip.Head(head.Shard)
 		isAuthoritative := head.Current || r.GateMode == gateModeOpen && head.Revision > 0
 		switch {
-		case head.Recovering && ok && update.Index > head.Offered:
+		case head.Recovering && ok && stored.Index > head.Offered:
+			update, _ := r.gossip.Get(head.Shard)
 			offer.Updates = append(offer.Updates, update)
-		case isAuthoritative && (!ok || update.Revision < head.Revision):
+		case isAuthoritative && (!ok || stored.Revision < head.Revision):
 			behind = true
 		}
 	}
--- a/internal/dataplane/router/router.go
+++ b/internal/dataplane/router/router.go
@@ -100,7 +100,7 @@
 		suspects:      newSuspectLog(),
 	}
 	peerView := peers.NewView(router.Node, peerViewCapacity, peerShuffleSize, incarnation)
-	store := gossip.NewStore(shardstate.ApplyEntries, router.installUpdate)
+	store := gossip.NewStore(shardstate.Decode, router.installState)
 	router.gossip = peers.NewGossip(peers.Options{
 		View:      peerView,
 		Store:     store,
@@ -128,29 +128,26 @@
 // SetSeeds replaces the seeds by those that the settings name now.
 func (r *Router) SetSeeds(seeds []string) { r.gossip.SetSeeds(seeds) }
 
-// installUpdate takes a newer state of a shard that gossip has received. A malformed one is ignored.
-func (r *Router) installUpdate(update gossip.Update) {
-	membership, snapshot, ok := consensus.DecodeSnapshot(update.Data)
-	if !ok || update.Shard < 0 || update.Shard >= len(r.memberships) {
+// installState takes a newer state of a shard that gossip has received. That of an unknown shard is ignored.
+func (r *Router) installState(head gossip.Head, state gossip.State) {
+	published, ok := state.(*shardstate.PublishedState)
+	if !ok || head.Shard < 0 || head.Shard >= len(r.memberships) {
 		return
 	}
-	r.memberships[update.Shard].Store(&membership)
-	for _, member := range membership.Members {
+	r.memberships[head.Shard].Store(&published.Membership)
+	for _, member := range published.Membership.Members {
 		r.meter.SetDaemonZone(member.Address, member.Zone)
 	}
-	if update.Shard == configShard {
-		r.installConfig(snapshot)
-		return
+	if view, ok := published.Configuration(); ok {
+		r.installConfig(view)
+	}
+	if view, ok := published.Engines(); ok {
+		r.installEngines(view)
 	}
-	r.installEngines(snapshot)
 }
 
-// installEngines takes the state of a shard with engines.
-func (r *Router) installEngines(snapshot []byte) {
-	view, ok := registry.DecodeView(snapshot)
-	if !ok {
-		return
-	}
+// installEngines takes the engines of a shard.
+func (r *Router) installEngines(view registry.View) {
 	for _, engine := range view.Engines {
 		r.meter.SetZone(engine.Address, engine.Zone)
 	}
--- a/internal/faulttest/scalebench/bench_fleet.go
+++ b/internal/faulttest/scalebench/bench_fleet.go
@@ -17,6 +17,7 @@
 	"coursepass/internal/dataplane/proxy"
 	"coursepass/internal/dataplane/router"
 	"coursepass/internal/errcode"
+	"coursepass/internal/gossip"
 	"coursepass/internal/settings"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/registry"
@@ -377,7 +378,7 @@
 		client:      &http.Client{Timeout: clientTimeout, Transport: roundTripper},
 		running:     ctx,
 		failures:    make(chan error, failureCapacity),
-		stateCache:  &sharedStateCache{states: map[stateKey][]byte{}},
+		stateCache:  &sharedStateCache{states: map[stateKey]gossip.State{}},
 	}
 	measurements, err := fleet.startAndMeasure(ctx, directory)
 	configured, engines := fleet.encodedStates()
--- a/internal/faulttest/scalebench/simulated_router.go
+++ b/internal/faulttest/scalebench/simulated_router.go
@@ -34,37 +34,51 @@
 // maxCachedStates bounds the cache of states; beyond it all are dropped.
 const maxCachedStates = 64
 
-// stateKey identifies a state by the steps that lead to it.
+// stateKey identifies a state by the entries that lead to it.
 type stateKey struct {
 	shard      int
 	firstIndex uint64
 	revision   uint64
 }
 
-// sharedStateCache computes each state once for all simulated routers: the steps and the snapshot
-// before them are the same for all of them, so the bytes are, too.
+// sharedStateCache computes each state once for all simulated routers: the entries and the state before them are
+// the same for all of them.
 type sharedStateCache struct {
 	lock   sync.Mutex
-	states map[stateKey][]byte
+	states map[stateKey]gossip.State
 }
 
-// applySteps returns the state after steps; false if they do not fit the data.
-func (s *sharedStateCache) applySteps(shard int, data []byte, steps []gossip.Entry, revision uint64) ([]byte, bool) {
-	key := stateKey{shard: shard, firstIndex: steps[0].Index, revision: revision}
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if state, known := s.states[key]; known {
+// cachedState is a state that is shared by the routers that apply the same entries.
+type cachedState struct {
+	gossip.State
+	shard int
+	cache *sharedStateCache
+}
+
+// decode decodes the snapshot of a shard's state; false if it is malformed.
+func (s *sharedStateCache) decode(shard int, snapshot []byte) (gossip.State, bool) {
+	state, valid := shardstate.Decode(shard, snapshot)
+	return cachedState{State: state, shard: shard, cache: s}, valid
+}
+
+// Apply returns the state after entries; false if they don't lead to the revision.
+func (c cachedState) Apply(entries []gossip.Entry, revision uint64) (gossip.State, bool) {
+	key := stateKey{shard: c.shard, firstIndex: entries[0].Index, revision: revision}
+	c.cache.lock.Lock()
+	defer c.cache.lock.Unlock()
+	if state, known := c.cache.states[key]; known {
 		return state, true
 	}
-	state, fits := shardstate.ApplyEntries(shard, data, steps, revision)
+	state, fits := c.State.Apply(entries, revision)
 	if !fits {
 		return nil, false
 	}
-	if len(s.states) > maxCachedStates {
-		clear(s.states)
+	if len(c.cache.states) > maxCachedStates {
+		clear(c.cache.states)
 	}
-	s.states[key] = state
-	return state, true
+	next := cachedState{State: state, shard: c.shard, cache: c.cache}
+	c.cache.states[key] = next
+	return next, true
 }
 
 // simulatedRouter is a router without callers: it reads heads, takes part in the gossip and in the
@@ -121,7 +135,7 @@
 	created.startedAt = created.clock.Now()
 	created.client = transport.NewInternal(fleetName, created.meter, network)
 	view := peers.NewView(created.Node, activeViewSize, passiveViewSize, created.Incarnation)
-	store := gossip.NewStore(options.stateCache.applySteps, created.installUpdate)
+	store := gossip.NewStore(options.stateCache.decode, created.installState)
 	created.gossip = peers.NewGossip(peers.Options{
 		View:      view,
 		Store:     store,
@@ -132,10 +146,10 @@
 	return created, newCountingListener(listener, &created.servedTraffic), nil
 }
 
-// installUpdate records that a state has come by gossip.
-func (s *simulatedRouter) installUpdate(update gossip.Update) {
-	if update.Shard < len(s.revisions) {
-		s.revisions[update.Shard].Store(update.Revision)
+// installState records that a state has come by gossip.
+func (s *simulatedRouter) installState(head gossip.Head, _ gossip.State) {
+	if head.Shard < len(s.revisions) {
+		s.revisions[head.Shard].Store(head.Revision)
 	}
 	if s.revisions[0].Load() > 0 && s.revisions[1].Load() > 0 {
 		s.completeAfter.CompareAndSwap(0, int64(s.clock.Now()-s.startedAt))
@@ -172,8 +186,8 @@
 	s.headsRead.Add(1)
 	s.softReports.Add(int64(len(response.EngineReports)))
 	for _, head := range response.Heads {
-		update, known := s.gossip.Get(head.Shard)
-		if head.Current && (!known || update.Revision < head.Revision) {
+		stored, known := s.gossip.Head(head.Shard)
+		if head.Current && (!known || stored.Revision < head.Revision) {
 			s.gossip.Repair(ctx, seed)
 			return
 		}
--- a/internal/faulttest/scalebench/state_cost.go
+++ b/internal/faulttest/scalebench/state_cost.go
@@ -113,9 +113,13 @@
 }
 
 func (s stateStep) addMeasurements(measurements *Measurements) {
+	state, valid := shardstate.Decode(s.shard, s.snapshot)
+	if !valid {
+		return
+	}
 	duration, allocated := measureCost(func() {
 		entries := []gossip.Entry{{Index: 1, Term: 1, Data: s.operation}}
-		shardstate.ApplyEntries(s.shard, s.snapshot, entries, s.revision)
+		state.Apply(entries, s.revision)
 	})
 	measurements.add(s.name+" step ms", duration)
 	measurements.add(s.name+" step allocates KB", allocated)
--- a/internal/gossip/peers/gossip.go
+++ b/internal/gossip/peers/gossip.go
@@ -163,12 +163,17 @@
 	return seeds[int(g.nextSeed.Add(1))%len(seeds)]
 }
 
-// Publish stores an update of this daemon's own and pushes it to peers.
-func (g *Gossip) Publish(ctx context.Context, update gossip.Update) { g.acceptAndForward(ctx, update) }
+// Publish stores a state of this daemon's own, and pushes the update's entries to peers, or the state if there
+// are none.
+func (g *Gossip) Publish(ctx context.Context, update gossip.Update, state gossip.State) {
+	if g.AcceptState(update, state) {
+		g.forward(ctx, update)
+	}
+}
 
 // isBehind tells whether the stored state is earlier than an update.
 func (g *Gossip) isBehind(update gossip.Update) bool {
-	current, exists := g.Get(update.Shard)
+	current, exists := g.Head(update.Shard)
 	return !exists || current.Index < update.Index
 }
 
@@ -181,14 +186,20 @@
 	g.Repair(ctx, address)
 }
 
-// acceptAndForward stores an update and, if it changes the state, pushes it to a few peers: its entries if
-// there are any, else its snapshot. The pushes outlive the context, and nobody waits for them.
+// acceptAndForward stores an update and, if it changes the state, pushes it to a few peers.
 func (g *Gossip) acceptAndForward(ctx context.Context, update gossip.Update) {
-	if !g.Accept(update) {
-		return
+	if g.Accept(update) {
+		g.forward(ctx, update)
 	}
+}
+
+// forward pushes an update to a few peers: its entries if there are any, else the stored state. The pushes
+// outlive the context, and nobody waits for them.
+func (g *Gossip) forward(ctx context.Context, update gossip.Update) {
 	if update.Entries != nil {
 		update.Data = nil
+	} else if update.Data == nil {
+		update, _ = g.Get(update.Shard)
 	}
 	pushContext := context.WithoutCancel(ctx)
 	for _, peer := range g.Sample(fanout) {
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -6,8 +6,13 @@
 	"sync/atomic"
 )
 
-// maxRetainedEntries is how many entries of a shard are kept for peers that are behind.
-const maxRetainedEntries = 64
+const (
+	// maxRetainedEntries is how many entries of a shard are kept for peers that are behind.
+	maxRetainedEntries = 64
+	// maxEntryBytes is the size up to which entries are sent without a look at the size of the snapshot, which
+	// would have to be encoded for it.
+	maxEntryBytes = 4 << 10
+)
 
 // Counters of a store.
 type Counters struct {
@@ -23,32 +28,47 @@
 	SnapshotsNeeded      atomic.Int64
 }
 
-// ApplyEntries returns the snapshot that results from an earlier one and the entries after it; false if they
-// don't lead to the given revision.
-type ApplyEntries func(shard int, data []byte, entries []Entry, revision uint64) ([]byte, bool)
+// State is a shard's state, decoded. It never changes: entries lead to another one.
+type State interface {
+	// Apply returns the state that results from the entries after this one; false if they don't lead to the
+	// given revision.
+	Apply(entries []Entry, revision uint64) (State, bool)
+	// Snapshot encodes the state.
+	Snapshot() []byte
+}
+
+// DecodeState decodes the snapshot of a shard's state; false if it is malformed.
+type DecodeState func(shard int, snapshot []byte) (State, bool)
 
 // Store keeps the newest state of each shard. Its methods may be called from several goroutines.
+//
+// States are kept decoded, so that entries cost what they change. A state is encoded once somebody asks for its
+// snapshot, and then once for all who do.
 type Store struct {
 	Counters
-	applyEntries ApplyEntries
-	onChange     func(Update)
+	decode   DecodeState
+	onChange func(Head, State)
 
-	// lock guards what follows, and is held during onChange.
+	// lock guards records and what they hold, and is held during onChange.
 	lock sync.Mutex
-	// updates have the newest states by shard, as snapshots; entries the last entries that led to them.
-	updates map[int]Update
-	entries map[int][]Entry
+	// records are by shard.
+	records map[int]*record
+}
+
+// record is the newest state of a shard.
+type record struct {
+	Head
+	state State
+	// snapshot is the state encoded, nil as long as nobody has asked for it.
+	snapshot []byte
+	// entries are the last entries that led to the state.
+	entries []Entry
 }
 
 // NewStore returns an empty store. It calls onChange, unless nil, for each newer state in order. The function
 // must not call the store.
-func NewStore(applyEntries ApplyEntries, onChange func(Update)) *Store {
-	return &Store{
-		applyEntries: applyEntries,
-		onChange:     onChange,
-		updates:      map[int]Update{},
-		entries:      map[int][]Entry{},
-	}
+func NewStore(decode DecodeState, onChange func(Head, State)) *Store {
+	return &Store{decode: decode, onChange: onChange, records: map[int]*record{}}
 }
 
 // Accept stores an update if it is newer than the stored one and its state is known or can be reached, and
@@ -56,79 +76,118 @@
 func (s *Store) Accept(update Update) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	current, exists := s.updates[update.Shard]
+	return s.accept(update, func(current *record, entries []Entry) (State, bool) {
+		return s.reachState(update, current, entries)
+	})
+}
+
+// AcceptState is Accept for an update of this daemon, which has its state decoded in place of a snapshot.
+func (s *Store) AcceptState(update Update, state State) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.accept(update, func(*record, []Entry) (State, bool) { return state, true })
+}
+
+// accept stores an update whose state, unless it is that of the stored one, reach returns. The lock must be held.
+func (s *Store) accept(update Update, reach func(current *record, entries []Entry) (State, bool)) bool {
+	current, exists := s.records[update.Shard]
+	if !exists {
+		current = &record{}
+	}
 	if exists && (update.Index <= current.Index || update.Revision < current.Revision) {
 		s.Duplicates.Add(1)
 		return false
 	}
 	entries := update.entriesSince(current.Index)
-	data, reached := s.reachState(update, current, exists, entries)
-	if !reached {
-		s.SnapshotsNeeded.Add(1)
-		return false
+	next := &record{Head: update.Head, state: current.state, snapshot: current.snapshot}
+	stateChanged := !exists || !update.SameState(current.Head)
+	if stateChanged {
+		state, reached := reach(current, entries)
+		if !reached {
+			s.SnapshotsNeeded.Add(1)
+			return false
+		}
+		next.state, next.snapshot = state, update.Data
 	}
-	s.retainEntries(update.Shard, entries, exists)
-	update.Data = data
-	update.Entries = nil
-	s.updates[update.Shard] = update
+	if exists {
+		next.entries = retainedEntries(current.entries, entries)
+	}
+	s.records[update.Shard] = next
 	s.Accepted.Add(1)
-	stateChanged := !exists || !update.SameState(current.Head)
 	if stateChanged && s.onChange != nil {
-		s.onChange(update)
+		s.onChange(next.Head, next.state)
 	}
 	return stateChanged
 }
 
-// reachState returns the snapshot of an update: that of the stored one if the state is the same, its own, or
-// the result of the entries since the stored one. The lock must be held.
-func (s *Store) reachState(update, current Update, exists bool, entries []Entry) ([]byte, bool) {
+// reachState returns the state of an update: that of its snapshot, or the result of the entries since the stored
+// one. The lock must be held.
+func (s *Store) reachState(update Update, current *record, entries []Entry) (State, bool) {
 	switch {
-	case exists && update.SameState(current.Head):
-		return current.Data, true
 	case update.Data != nil:
-		return update.Data, true
-	case !exists || entries == nil:
+		return s.decode(update.Shard, update.Data)
+	case current.state == nil || entries == nil:
 		return nil, false
 	}
-	data, applied := s.applyEntries(update.Shard, current.Data, entries, update.Revision)
+	state, applied := current.state.Apply(entries, update.Revision)
 	if applied {
 		s.AppliedIncrementally.Add(1)
 	}
-	return data, applied
+	return state, applied
 }
 
-// retainEntries keeps the last entries of a shard. Entries that don't follow the stored ones replace them by
-// nothing. The lock must be held.
-func (s *Store) retainEntries(shard int, entries []Entry, exists bool) {
-	if !exists || entries == nil {
-		s.entries[shard] = nil
-		return
+// retainedEntries returns the last entries after those of an update. Entries that don't follow the earlier ones
+// replace them by nothing.
+func retainedEntries(earlier, entries []Entry) []Entry {
+	if entries == nil {
+		return nil
 	}
-	entries = append(s.entries[shard], entries...)
-	s.entries[shard] = slices.Clone(entries[max(len(entries)-maxRetainedEntries, 0):])
+	joined := slices.Concat(earlier, entries)
+	return slices.Clone(joined[max(len(joined)-maxRetainedEntries, 0):])
 }
 
 // Revision returns the stored revision of a shard; false if there is none.
 func (s *Store) Revision(shard int) (uint64, bool) {
-	update, exists := s.Get(shard)
-	return update.Revision, exists
+	head, exists := s.Head(shard)
+	return head.Revision, exists
+}
+
+// Head returns the head of the stored state of a shard; false if there is none.
+func (s *Store) Head(shard int) (Head, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if stored, exists := s.records[shard]; exists {
+		return stored.Head, true
+	}
+	return Head{}, false
 }
 
-// Get returns the stored state of a shard; false if there is none.
+// Get returns the stored state of a shard as a snapshot; false if there is none.
 func (s *Store) Get(shard int) (Update, bool) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	update, exists := s.updates[shard]
-	return update, exists
+	stored, exists := s.records[shard]
+	if !exists {
+		return Update{}, false
+	}
+	return stored.update(), true
+}
+
+// update returns the state as a snapshot. The store's lock must be held.
+func (r *record) update() Update {
+	if r.snapshot == nil {
+		r.snapshot = r.state.Snapshot()
+	}
+	return Update{Head: r.Head, Data: r.snapshot}
 }
 
 // Heads returns the heads of all stored states, in no particular order.
 func (s *Store) Heads() []Head {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	heads := make([]Head, 0, len(s.updates))
-	for _, update := range s.updates {
-		heads = append(heads, update.Head)
+	heads := make([]Head, 0, len(s.records))
+	for _, stored := range s.records {
+		heads = append(heads, stored.Head)
 	}
 	return heads
 }
@@ -143,28 +202,31 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	response := DigestResponse{}
-	for shard, update := range s.updates {
-		response.Heads = append(response.Heads, update.Head)
+	for shard, stored := range s.records {
+		response.Heads = append(response.Heads, stored.Head)
 		remote, exists := remoteHeads[shard]
 		switch {
 		case !exists:
-			response.Updates = append(response.Updates, update)
-		case remote.Index < update.Index:
-			response.Updates = append(response.Updates, s.updateSince(remote, update))
+			response.Updates = append(response.Updates, stored.update())
+		case remote.Index < stored.Index:
+			response.Updates = append(response.Updates, stored.updateSince(remote))
 		}
 	}
 	return response
 }
 
-// updateSince returns the stored update for a peer that has an earlier one. The lock must be held.
-func (s *Store) updateSince(remote Head, update Update) Update {
-	if remote.SameState(update.Head) {
-		return Update{Head: update.Head}
+// updateSince returns the stored state for a peer that has an earlier one. The store's lock must be held.
+func (r *record) updateSince(remote Head) Update {
+	if remote.SameState(r.Head) {
+		return Update{Head: r.Head}
 	}
-	retained := Update{Head: update.Head, Entries: s.entries[update.Shard]}
+	retained := Update{Head: r.Head, Entries: r.entries}
 	entries := retained.entriesSince(remote.Index)
-	if entries != nil && entriesSize(entries) < len(update.Data) {
-		return Update{Head: update.Head, Entries: entries}
+	if entries == nil {
+		return r.update()
+	}
+	if size := entriesSize(entries); size > maxEntryBytes && size >= len(r.update().Data) {
+		return r.update()
 	}
-	return update
+	return Update{Head: r.Head, Entries: entries}
 }
--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -2,19 +2,30 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
-// appendEntries is a state machine whose snapshot is the concatenation of all entries, and whose revision is
-// its length.
-func appendEntries(_ int, data []byte, entries []Entry, revision uint64) ([]byte, bool) {
-	state := append([]byte{}, data...)
+// byteState is a state whose snapshot is the concatenation of all entries, and whose revision is its length.
+type byteState []byte
+
+// malformedByte begins a snapshot that can't be decoded.
+const malformedByte = 0xff
+
+func decodeBytes(_ int, snapshot []byte) (State, bool) {
+	return byteState(snapshot), len(snapshot) == 0 || snapshot[0] != malformedByte
+}
+
+func (b byteState) Apply(entries []Entry, revision uint64) (State, bool) {
+	next := slices.Clone(b)
 	for _, entry := range entries {
-		state = append(state, entry.Data...)
+		next = append(next, entry.Data...)
 	}
-	return state, uint64(len(state)) == revision
+	return next, uint64(len(next)) == revision
 }
 
+func (b byteState) Snapshot() []byte { return b }
+
 // snapshotUpdate has the state after so many one-byte entries.
 func snapshotUpdate(index uint64) Update {
 	return Update{Head: Head{Shard: 1, Index: index, Revision: index}, Data: make([]byte, index)}
@@ -36,6 +47,8 @@
 	lowerRevision.Revision = 3
 	wrongRevision := entriesUpdate(5, 1)
 	wrongRevision.Revision = 6
+	malformed := snapshotUpdate(7)
+	malformed.Data[0] = malformedByte
 	for _, testCase := range []struct {
 		name    string
 		update  Update
@@ -51,10 +64,11 @@
 		{"the stored index", snapshotUpdate(4), false, 4},
 		{"an earlier index", snapshotUpdate(3), false, 4},
 		{"a lower revision", lowerRevision, false, 4},
+		{"a malformed snapshot", malformed, false, 4},
 	} {
 		t.Run(testCase.name, func(t *testing.T) {
 			changes := 0
-			store := NewStore(appendEntries, func(Update) { changes++ })
+			store := NewStore(decodeBytes, func(Head, State) { changes++ })
 			store.Accept(snapshotUpdate(4))
 			changed := store.Accept(testCase.update)
 			if changed != testCase.changed {
@@ -72,7 +86,7 @@
 }
 
 func TestStore_EmptyStoreNeedsSnapshot(t *testing.T) {
-	store := NewStore(appendEntries, nil)
+	store := NewStore(decodeBytes, nil)
 	if store.Accept(entriesUpdate(1, 1)) {
 		t.Error("entries were accepted without a state")
 	}
@@ -82,7 +96,7 @@
 }
 
 func TestStore_CompareDigestSendsSmallestForm(t *testing.T) {
-	store := NewStore(appendEntries, nil)
+	store := NewStore(decodeBytes, nil)
 	store.Accept(snapshotUpdate(4))
 	store.Accept(entriesUpdate(6, 2))
 	sameState := Head{Shard: 1, Index: 5, Revision: 6}
@@ -113,3 +127,35 @@
 		})
 	}
 }
+
+// countingState counts how often a state is encoded.
+type countingState struct {
+	byteState
+	encoded *int
+}
+
+func (c countingState) Snapshot() []byte {
+	*c.encoded++
+	return c.byteState
+}
+
+func TestStore_EncodesAStateOnceAndOnDemand(t *testing.T) {
+	store, encoded := NewStore(decodeBytes, nil), 0
+	update := entriesUpdate(4, 1)
+	if !store.AcceptState(update, countingState{byteState(make([]byte, 4)), &encoded}) {
+		t.Fatal("the state was not accepted")
+	}
+	store.CompareDigest(Digest{Heads: []Head{update.Head}})
+	if encoded != 0 {
+		t.Errorf("encoded %d times before anybody asked", encoded)
+	}
+	for range 3 {
+		if stored, _ := store.Get(1); len(stored.Data) != 4 {
+			t.Errorf("%d bytes, want 4", len(stored.Data))
+		}
+		store.CompareDigest(Digest{})
+	}
+	if encoded != 1 {
+		t.Errorf("encoded %d times, want once", encoded)
+	}
+}
--- a/internal/state/config/state.go
+++ b/internal/state/config/state.go
@@ -146,20 +146,32 @@
 	return gobcodec.Encode(s.toWire())
 }
 
-// PublishedSnapshot returns the state as routers get it, which is all of it.
-func (s *State) PublishedSnapshot() []byte { return s.Snapshot() }
+// Clone returns a copy. What the two share is replaced when it changes, never changed in place.
+func (s *State) Clone() *State {
+	clone := *s
+	clone.Accepted, clone.Keyed = slices.Clip(s.Accepted), slices.Clip(s.Keyed)
+	return &clone
+}
 
 // Restore replaces the state by a snapshot, also by one of an earlier build. A
 // snapshot that can't be decoded is ignored.
 func (s *State) Restore(snapshot []byte) {
+	if restored, valid := DecodeState(snapshot); valid {
+		*s = *restored
+	}
+}
+
+// DecodeState decodes a snapshot, also one of an earlier build; false if it is malformed.
+func DecodeState(snapshot []byte) (*State, bool) {
 	var decoded persistentStateWire
 	if gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&decoded) != nil {
-		return
+		return nil, false
 	}
-	s.persistentState = decoded.toDomain()
+	restored := &State{persistentState: decoded.toDomain()}
 	if decoded.Format == 0 {
-		s.restoreLegacy(snapshot)
+		restored.restoreLegacy(snapshot)
 	}
+	return restored, true
 }
 
 // Encode encodes the operation as a log entry.
--- a/internal/state/registry/snapshot.go
+++ b/internal/state/registry/snapshot.go
@@ -32,6 +32,14 @@
 	return buffer.Bytes()
 }
 
+// Published returns a copy of the state as routers get it, without the outbox. What the two share is replaced when
+// it changes, never changed in place.
+func (s *State) Published() *State {
+	withoutOutbox := outbox.NewState()
+	withoutOutbox.Incomplete = true
+	return &State{View: s.View, Outbox: withoutOutbox}
+}
+
 // PublishedSnapshot encodes the state for routers, without the outbox. A state that is restored from it knows
 // that its outbox is incomplete.
 func (s *State) PublishedSnapshot() []byte {
@@ -40,11 +48,18 @@
 
 // Restore replaces the state by a snapshot. One that can't be decoded is ignored.
 func (s *State) Restore(snapshot []byte) {
+	if restored, valid := DecodeState(snapshot); valid {
+		s.View, *s.Outbox = restored.View, *restored.Outbox
+	}
+}
+
+// DecodeState decodes a snapshot; false if it is malformed.
+func DecodeState(snapshot []byte) (*State, bool) {
 	reader := bytes.NewReader(snapshot)
 	decoder := gob.NewDecoder(reader)
 	view := NewState().ToWire()
 	if decoder.Decode(&view) != nil {
-		return
+		return nil, false
 	}
 	restored := outbox.NewState()
 	switch rest := snapshot[len(snapshot)-reader.Len():]; {
@@ -54,11 +69,11 @@
 	default:
 		var wire outbox.SnapshotWire
 		if decoder.Decode(&wire) != nil {
-			return
+			return nil, false
 		}
 		restored = wire.ToDomain()
 	}
-	s.View, *s.Outbox = view.ToDomain(), *restored
+	return &State{View: view.ToDomain(), Outbox: restored}, true
 }
 
 // DecodeView decodes the view in a snapshot.
