--- a/internal/controlplane/engineplan/placement_owners.go
+++ b/internal/controlplane/engineplan/placement_owners.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
 
 	"coursepass/internal/node"
+	"coursepass/internal/rendezvous"
 	"coursepass/internal/state/pairing"
 	"coursepass/internal/state/registry"
 )
@@ -64,6 +64,7 @@
 			Zone:    router.Zone,
 		})
 	}
+	hash := rendezvous.New(service)
 	slices.SortFunc(candidates, func(left, right pairing.PlacementOwner) int {
 		isCommitted := func(owner pairing.PlacementOwner) int {
 			if slices.Contains(committed, owner) {
@@ -73,7 +74,7 @@
 		}
 		return cmp.Or(
 			cmp.Compare(isCommitted(left), isCommitted(right)),
-			cmp.Compare(ownerScore(service, right.Router), ownerScore(service, left.Router)),
+			cmp.Compare(hash.Score(right.Router), hash.Score(left.Router)),
 			cmp.Compare(left.Router, right.Router),
 		)
 	})
@@ -83,12 +84,3 @@
 	})
 	return chosen
 }
-
-// ownerScore orders the routers, in another way for each service.
-func ownerScore(service, router string) uint64 {
-	hash := fnv.New64a()
-	hash.Write([]byte(service))
-	hash.Write([]byte{0})
-	hash.Write([]byte(router))
-	return hash.Sum64()
-}
--- a/internal/dataplane/balancer/cost.go
+++ b/internal/dataplane/balancer/cost.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"coursepass/internal/clock"
+	"coursepass/internal/rendezvous"
 	"coursepass/internal/state/pairing"
 )
 
@@ -162,7 +163,7 @@
 	if b.PlacesForAll {
 		key = requirements.Router
 	}
-	return clock.Microseconds(rendezvousScore(key, engine.Incarnation) % uint64(tieBreakRange))
+	return clock.Microseconds(rendezvous.Score(key, engine.Incarnation) % uint64(tieBreakRange))
 }
 
 // crossZoneTransferCost returns the cost of transferring the KV cache of a prompt between two zones
--- a/internal/dataplane/balancer/prompt_cache.go
+++ b/internal/dataplane/balancer/prompt_cache.go
@@ -1,11 +1,12 @@
 package balancer
 
 import (
-	"hash/fnv"
+	"cmp"
 	"slices"
 
 	"coursepass/internal/clock"
 	"coursepass/internal/platformport"
+	"coursepass/internal/rendezvous"
 )
 
 const (
@@ -77,40 +78,23 @@
 		count = max(len(engines)/smallPrefixShare, 1)
 	}
 	sharedPrefix := prompt[len(prompt)-minSharedChunks].Name
+	type scoredEngine struct {
+		engine *engineState
+		score  uint64
+	}
+	hash := rendezvous.New(sharedPrefix)
+	scored := make([]scoredEngine, 0, len(engines))
+	for _, engine := range engines {
+		scored = append(scored, scoredEngine{engine, hash.Score(engine.Incarnation)})
+	}
+	slices.SortStableFunc(scored, func(left, right scoredEngine) int { return cmp.Compare(right.score, left.score) })
 	preferred := map[*engineState]bool{}
-	for range count {
-		var best *engineState
-		highest := uint64(0)
-		for _, engine := range engines {
-			score := rendezvousScore(sharedPrefix, engine.Incarnation)
-			if !preferred[engine] && (best == nil || score > highest) {
-				best, highest = engine, score
-			}
-		}
-		preferred[best] = true
+	for _, best := range scored[:min(count, len(scored))] {
+		preferred[best.engine] = true
 	}
 	return preferred
 }
 
-// mixShift and mixMultiplier are those of the 64-bit finalizer of MurmurHash3.
-const (
-	mixShift      = 33
-	mixMultiplier = 0xff51afd7ed558ccd
-)
-
-// rendezvousScore hashes a pair of names. FNV-1a alone changes the low bits too little when only the
-// last bytes differ, hence the mixing at the end.
-func rendezvousScore(left, right string) uint64 {
-	hash := fnv.New64a()
-	hash.Write([]byte(left))
-	hash.Write([]byte{0})
-	hash.Write([]byte(right))
-	value := hash.Sum64()
-	value ^= value >> mixShift
-	value *= mixMultiplier
-	return value ^ value>>mixShift
-}
-
 // totalTokens returns the number of tokens of a prompt.
 func totalTokens(prompt []platformport.PromptChunk) int {
 	tokens := 0
--- a/internal/dataplane/balancer/warmup.go
+++ b/internal/dataplane/balancer/warmup.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "coursepass/internal/clock"
+import (
+	"coursepass/internal/clock"
+	"coursepass/internal/rendezvous"
+)
 
 const (
 	// warmupWindow is the time over which requests to an engine that is warming up are counted: a
@@ -51,7 +54,7 @@
 	limit := int(quota)
 	if limit == 0 {
 		// Only some routers may use the engine. All routers agree on which.
-		bucket := rendezvousScore(engine.Incarnation, b.Router) % hashBuckets
+		bucket := rendezvous.Score(engine.Incarnation, b.Router) % hashBuckets
 		if float64(bucket)/hashBuckets >= quota*singleRequestMargin {
 			return false
 		}
--- a/internal/dataplane/placement/ownership.go
+++ b/internal/dataplane/placement/ownership.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 
 	"coursepass/internal/platformport"
+	"coursepass/internal/rendezvous"
 	"coursepass/internal/state/pairing"
 )
 
@@ -21,6 +22,8 @@
 // It is the same at all routers that know the same assignment and engines. It is immutable.
 type Ownership struct {
 	owners []pairing.PlacementOwner
+	// hashes are those of the owners' names, by the owner's index.
+	hashes []rendezvous.Hash
 	// engines are the engines of each owner, by the owner's index; prefillers counts those that prefill.
 	engines    [][]platformport.Engine
 	prefillers []int
@@ -36,23 +39,22 @@
 		engines:    make([][]platformport.Engine, len(owners)),
 		prefillers: make([]int, len(owners)),
 
-		ownerByEngine: map[string]int{},
+		ownerByEngine: make(map[string]int, len(engines)),
 	}
 	if len(owners) == 0 {
 		return ownership
 	}
-	sorted := slices.SortedFunc(slices.Values(engines), func(left, right platformport.Engine) int {
-		return cmp.Compare(left.Incarnation, right.Incarnation)
-	})
-	groups := map[groupKey][]platformport.Engine{}
-	var keys []groupKey
-	for _, engine := range sorted {
-		key := groupKey{engine.Zone, engine.Role}
-		if groups[key] == nil {
-			keys = append(keys, key)
-		}
-		groups[key] = append(groups[key], engine)
+	for _, owner := range owners {
+		ownership.hashes = append(ownership.hashes, rendezvous.New(owner.Router))
 	}
+	groups := map[groupKey][]*platformport.Engine{}
+	for index := range engines {
+		key := groupKey{engines[index].Zone, engines[index].Role}
+		groups[key] = append(groups[key], &engines[index])
+	}
+	keys := slices.SortedFunc(maps.Keys(groups), func(left, right groupKey) int {
+		return cmp.Or(cmp.Compare(left.zone, right.zone), cmp.Compare(left.role, right.role))
+	})
 	for _, key := range keys {
 		ownership.divide(key, groups[key])
 	}
@@ -64,20 +66,23 @@
 
 // divide gives each engine of a group to the owner with the highest score among those that have not got
 // their equal part yet, so that few engines change owners when one comes or goes.
-func (o *Ownership) divide(key groupKey, engines []platformport.Engine) {
+func (o *Ownership) divide(key groupKey, engines []*platformport.Engine) {
+	slices.SortFunc(engines, func(left, right *platformport.Engine) int {
+		return cmp.Compare(left.Incarnation, right.Incarnation)
+	})
 	candidates := o.ownersOf(key.zone)
 	capacity := (len(engines) + len(candidates) - 1) / len(candidates)
-	taken := map[int]int{}
+	taken := make([]int, len(o.owners))
 	for _, engine := range engines {
 		best, highest := -1, uint64(0)
 		for _, index := range candidates {
-			score := rendezvousScore(o.owners[index].Router, engine.Incarnation)
+			score := o.hashes[index].Score(engine.Incarnation)
 			if taken[index] < capacity && (best < 0 || score > highest) {
 				best, highest = index, score
 			}
 		}
 		taken[best]++
-		o.engines[best] = append(o.engines[best], engine)
+		o.engines[best] = append(o.engines[best], *engine)
 		o.ownerByEngine[engine.Incarnation] = best
 		if engine.Role != pairing.RoleDecode {
 			o.prefillers[best]++
@@ -131,7 +136,7 @@
 		if len(o.engines[index]) == 0 {
 			continue
 		}
-		if score := weightedScore(o.owners[index].Router, key, o.prefillers[index]); score > highest {
+		if score := weightedScore(o.hashes[index].Score(key), o.prefillers[index]); score > highest {
 			best, highest = index, score
 		}
 	}
@@ -153,28 +158,10 @@
 	return prompt[len(prompt)-minSharedChunks].Name, tokens
 }
 
-// weightedScore is the score of weighted rendezvous hashing: of all owners, each has the highest one for a
-// part of the keys that is proportional to its weight.
-func weightedScore(owner, key string, weight int) float64 {
+// weightedScore turns a score into that of weighted rendezvous hashing: of all owners, each has the highest one for
+// a part of the keys that is proportional to its weight.
+func weightedScore(score uint64, weight int) float64 {
 	const hashRange = 1 << 53
-	uniform := (float64(rendezvousScore(owner, key)%hashRange) + 1) / (hashRange + 1)
+	uniform := (float64(score%hashRange) + 1) / (hashRange + 1)
 	return -float64(max(weight, 1)) / math.Log(uniform)
 }
-
-// mixShift and mixMultiplier are those of the 64-bit finalizer of MurmurHash3.
-const (
-	mixShift      = 33
-	mixMultiplier = 0xff51afd7ed558ccd
-)
-
-// rendezvousScore hashes a pair of names (Thaler and Ravishankar, 1998), FNV-1a with a finalizer.
-func rendezvousScore(left, right string) uint64 {
-	hash := fnv.New64a()
-	hash.Write([]byte(left))
-	hash.Write([]byte{0})
-	hash.Write([]byte(right))
-	value := hash.Sum64()
-	value ^= value >> mixShift
-	value *= mixMultiplier
-	return value ^ value>>mixShift
-}
--- a/internal/layering/layering.go
+++ b/internal/layering/layering.go
@@ -27,6 +27,7 @@
 			"internal/node",
 			"internal/topology",
 			"internal/wireform",
+			"internal/rendezvous",
 			"internal/metrics",
 			"internal/transport",
 			"internal/settings",
