Plan role changes of a large group in time that grows with its engines

Cause: for each change that a rebalancing began, the leader copied all engines, searched each among the changes under way and compared all candidates.

IsChangingRole is gone, ChangingNames does its work.

--- a/internal/controlplane/autoscale/model_test.go
+++ b/internal/controlplane/autoscale/model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"coursepass/internal/clock"
 	"coursepass/internal/controlplane/engineplan"
@@ -368,8 +369,9 @@
 	for _, candidate := range m.planner.Candidates(live) {
 		committed.Roles[candidate.Name] = candidate.Role
 	}
+	changing := m.planner.ChangingNames(live)
 	for _, engine := range live {
-		byName[engine.Name].changing = m.planner.IsChangingRole(engine)
+		byName[engine.Name].changing = slices.Contains(changing, engine.Name)
 	}
 	for _, command := range m.planner.ReadyCommands(m.now, live, committed) {
 		engine := byName[command.Name]
--- a/internal/controlplane/engineplan/planner.go
+++ b/internal/controlplane/engineplan/planner.go
@@ -65,22 +65,23 @@
 	}
 }
 
-// IsChangingRole tells whether a change of the engine's role is under way.
-func (p *Planner) IsChangingRole(engine registry.Engine) bool {
-	isOfEngine := func(change *roleChange) bool { return change.engineName == engine.Name }
+// changingSet returns the names of the engines whose role is changing.
+func (p *Planner) changingSet() map[string]bool {
+	changing := map[string]bool{}
 	for _, changes := range p.pending {
-		if slices.ContainsFunc(changes, isOfEngine) {
-			return true
+		for _, change := range changes {
+			changing[change.engineName] = true
 		}
 	}
-	return false
+	return changing
 }
 
 // ChangingNames returns the sorted names of the live engines whose role is changing.
 func (p *Planner) ChangingNames(live []registry.Engine) []string {
 	var names []string
+	changing := p.changingSet()
 	for _, engine := range live {
-		if p.IsChangingRole(engine) {
+		if changing[engine.Name] {
 			names = append(names, engine.Name)
 		}
 	}
@@ -91,8 +92,9 @@
 // Candidates returns the live engines that may be assigned: those whose role is not changing.
 func (p *Planner) Candidates(live []registry.Engine) []pairing.Candidate {
 	var candidates []pairing.Candidate
+	changing := p.changingSet()
 	for _, engine := range live {
-		if p.IsChangingRole(engine) {
+		if changing[engine.Name] {
 			continue
 		}
 		candidates = append(candidates, pairing.Candidate{
@@ -108,13 +110,12 @@
 // Plan ends and begins role changes in a service. A change is costly: one begins only where a role
 // has no engine at all, or where the known load has leaned to a role for imbalanceWindow.
 func (p *Planner) Plan(now clock.Microseconds, service string, live []registry.Engine, share PrefillShare) {
-	groups := map[string][]registry.Engine{}
+	enginesByVersion := map[int][]registry.Engine{}
 	for _, engine := range live {
-		group := groupName(service, engine.Weights)
-		groups[group] = append(groups[group], engine)
+		enginesByVersion[engine.Weights] = append(enginesByVersion[engine.Weights], engine)
 	}
-	for group, engines := range groups {
-		p.planGroup(now, group, engines, share)
+	for modelVersion, engines := range enginesByVersion {
+		p.planGroup(now, groupName(service, modelVersion), engines, share)
 	}
 }
 
@@ -131,7 +132,7 @@
 	if missingRole != "" {
 		if missingFor >= delay && len(p.pending[group]) == 0 {
 			p.pending[group] = []*roleChange{{
-				engineName:       p.chooseEngine(now, engines, missingRole),
+				engineName:       p.chooseEngines(now, engines, missingRole, 1)[0],
 				role:             missingRole,
 				fillsMissingRole: true,
 			}}
@@ -153,8 +154,12 @@
 }
 
 func (p *Planner) removeFinished(now clock.Microseconds, group string, engines []registry.Engine, missingRole string) {
+	roles := map[string]string{}
+	for _, engine := range engines {
+		roles[engine.Name] = engine.Role
+	}
 	unfinished := slices.DeleteFunc(p.pending[group], func(change *roleChange) bool {
-		return p.isFinished(now, change, engines, missingRole)
+		return p.isFinished(now, change, roles, missingRole)
 	})
 	if len(unfinished) == 0 {
 		delete(p.pending, group)
@@ -164,15 +169,14 @@
 }
 
 // isFinished tells whether a change is complete, has timed out, or is not needed any more before it
-// was commanded.
+// was commanded. The roles are those of the group's live engines.
 func (p *Planner) isFinished(
-	now clock.Microseconds, change *roleChange, engines []registry.Engine, missingRole string,
+	now clock.Microseconds, change *roleChange, roles map[string]string, missingRole string,
 ) bool {
-	index := slices.IndexFunc(engines, func(engine registry.Engine) bool { return engine.Name == change.engineName })
-	isLive := index >= 0
+	role, isLive := roles[change.engineName]
 	commanded := change.firstCommandedAt > 0
 	switch {
-	case isLive && engines[index].Role == change.role:
+	case isLive && role == change.role:
 		return true
 	case commanded && now-change.firstCommandedAt >= roleChangeTimeout:
 		p.failures[change.engineName] = now
@@ -209,14 +213,10 @@
 	}
 	distance := math.Abs(prefillFraction*float64(len(engines)) - float64(prefillCount))
 	count := max(int(distance/rebalanceStepDivisor), 1)
-	for ; count > 0 && len(p.pending[group]) < maxChanges; count-- {
-		eligible := slices.DeleteFunc(slices.Clone(engines), p.IsChangingRole)
-		hasOtherRole := func(engine registry.Engine) bool { return engine.Role != role }
-		if !slices.ContainsFunc(eligible, hasOtherRole) {
-			return
-		}
-		change := &roleChange{engineName: p.chooseEngine(now, eligible, role), role: role}
-		p.pending[group] = append(p.pending[group], change)
+	changing := p.changingSet()
+	eligible := slices.DeleteFunc(slices.Clone(engines), func(engine registry.Engine) bool { return changing[engine.Name] })
+	for _, name := range p.chooseEngines(now, eligible, role, min(count, maxChanges-len(pendingChanges))) {
+		p.pending[group] = append(p.pending[group], &roleChange{engineName: name, role: role})
 	}
 }
 
--- a/internal/controlplane/engineplan/planner_test.go
+++ b/internal/controlplane/engineplan/planner_test.go
@@ -120,11 +120,11 @@
 	Convey("warm engines change first, in the zone that has most", t, func() {
 		engines := listedEngines("wwwww")
 		planner := NewPlanner()
-		So(planner.chooseEngine(0, engines, pairing.RolePrefill), ShouldEqual, "e0")
+		So(planner.chooseEngines(0, engines, pairing.RolePrefill, 1), ShouldResemble, []string{"e0"})
 		engines[0].WarmingUp = true
-		So(planner.chooseEngine(0, engines, pairing.RolePrefill), ShouldEqual, "e2")
+		So(planner.chooseEngines(0, engines, pairing.RolePrefill, 1), ShouldResemble, []string{"e2"})
 		engines[0].Zone, engines[2].Zone = "sur", "sur"
-		So(planner.chooseEngine(0, engines, pairing.RolePrefill), ShouldEqual, "e1")
+		So(planner.chooseEngines(0, engines, pairing.RolePrefill, 1), ShouldResemble, []string{"e1"})
 	})
 }
 
--- a/internal/controlplane/engineplan/role_command.go
+++ b/internal/controlplane/engineplan/role_command.go
@@ -32,16 +32,22 @@
 	now clock.Microseconds, live []registry.Engine, committed pairing.Assignment,
 ) []RoleCommand {
 	var commands []RoleCommand
+	if len(p.pending) == 0 {
+		return nil
+	}
+	liveByName := map[string]registry.Engine{}
+	for _, engine := range live {
+		liveByName[engine.Name] = engine
+	}
 	for _, change := range slices.Concat(slices.Collect(maps.Values(p.pending))...) {
-		index := slices.IndexFunc(live, func(engine registry.Engine) bool { return engine.Name == change.engineName })
-		if index < 0 {
+		engine, isLive := liveByName[change.engineName]
+		if !isLive {
 			continue
 		}
 		_, paired := committed.Roles[change.engineName]
 		if !change.isReady(now, paired) {
 			continue
 		}
-		engine := live[index]
 		engine.Role = change.role
 		commands = append(commands, RoleCommand{Engine: engine, FirstAttempt: change.firstCommandedAt == 0})
 		change.recordCommand(now)
