Report a guard's rejection on both directions of the connection that it closes

A finding: TestRunner_ClientWritesUnderLeaseOfItsTerm failed once beside other work with 'io: read/write on closed pipe' in place of the lease's error. Cause: the guard of a write closes the connection, and net/http reports the error of whichever direction it sees to fail first; the reader's is that of a closed connection. Nothing was sent in either case.

Change: a connection that its guard has closed fails reads with the guard's error. The new test of the connection fails without it.

--- a/internal/transport/metered_conn.go
+++ b/internal/transport/metered_conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"coursepass/internal/metrics/resources"
 	"coursepass/internal/topology"
@@ -15,15 +16,25 @@
 	usage *resources.Connection
 	// writeGuard may be nil; see [Options].
 	writeGuard func() error
+	// rejection is the error with which the guard has closed the connection, nil before.
+	rejection atomic.Pointer[error]
 }
 
-// Read reads and counts bytes.
-func (m *meteredConn) Read(buffer []byte) (int, error) { return m.usage.Read(m.Conn, buffer) }
+// Read reads and counts bytes. On a connection that the guard has closed it fails with the guard's error: net/http
+// reports that of whichever direction it sees to fail first.
+func (m *meteredConn) Read(buffer []byte) (int, error) {
+	count, err := m.usage.Read(m.Conn, buffer)
+	if rejection := m.rejection.Load(); err != nil && rejection != nil {
+		return count, *rejection
+	}
+	return count, err
+}
 
 // Write asks the guard, and writes and counts bytes.
 func (m *meteredConn) Write(buffer []byte) (int, error) {
 	if m.writeGuard != nil {
 		if err := m.writeGuard(); err != nil {
+			m.rejection.Store(&err)
 			_ = m.Close() // The guard's error is the one to report.
 			return 0, err
 		}
--- /dev/null
+++ b/internal/transport/write_guard_test.go
@@ -0,0 +1,34 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"testing"
+
+	"coursepass/internal/metrics/resources"
+	"coursepass/internal/topology"
+)
+
+// A rejected write closes the connection. Whichever direction the caller looks at, it is told why.
+func TestMeteredConn_BothDirectionsFailWithTheGuardsError(t *testing.T) {
+	errRejected := errors.New("rejected")
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	meter := topology.NewTrafficMeter("")
+	conn := &meteredConn{
+		Conn:       near,
+		usage:      meter.Accepted("10.0.0.1:1", resources.Control),
+		writeGuard: func() error { return errRejected },
+	}
+	readError := make(chan error)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		readError <- err
+	}()
+	if _, err := conn.Write([]byte("x")); !errors.Is(err, errRejected) {
+		t.Errorf("the write failed with %v", err)
+	}
+	if err := <-readError; !errors.Is(err, errRejected) {
+		t.Errorf("the read failed with %v", err)
+	}
+}
