Commit the difference between assignments where all members know how to apply it

Builds that do not know changes reject them as malformed: their routers see another revision and fetch the state; members must all have said that they know them (Features in the answers of members), or the whole assignment is committed as before. Where a change can't express the difference (pairs) it is committed whole as well.

Ruled out: roles derived from the engine list at routers (older builds would see no roles); applying to whatever is in force (states of builds that missed one would stay apart).

--- a/internal/compat/additions.go
+++ b/internal/compat/additions.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 
+	"coursepass/internal/controlplane/messaging"
 	"coursepass/internal/gossip/peers"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/pairing"
@@ -56,6 +57,14 @@
 		reflect.TypeFor[pairing.Assignment]():     {"PlacementOwners"},
 		reflect.TypeFor[pairing.AssignmentWire](): {"PlacementOwners"},
 	}},
+	{name: "assignment-version", fields: map[reflect.Type][]string{
+		reflect.TypeFor[pairing.Assignment]():     {"Version"},
+		reflect.TypeFor[pairing.AssignmentWire](): {"Version"},
+	}},
+	{name: "features", fields: map[reflect.Type][]string{
+		reflect.TypeFor[messaging.MessageBatchResponse]():     {"Features"},
+		reflect.TypeFor[messaging.MessageBatchResponseWire](): {"Features"},
+	}},
 }
 
 // adds reports whether a field of a struct belongs to the addition.
--- a/internal/compat/operations.go
+++ b/internal/compat/operations.go
@@ -4,6 +4,7 @@
 	"coursepass/internal/consensus"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/outbox"
+	"coursepass/internal/state/pairing"
 	"coursepass/internal/state/registry"
 )
 
@@ -34,6 +35,7 @@
 	samples := gobPrototypes(map[string]any{
 		"operation-configuration-result": config.OutcomeWire{},
 		"operation-catalogue-result":     registry.ResultWire{},
+		"operation-assignment-change":    pairing.AssignmentChange{},
 		"operation-outbox":               outbox.OperationWire{},
 		"operation-outbox-result":        outbox.ResultWire{},
 	})
--- a/internal/controlplane/leadertasks/directory_sync.go
+++ b/internal/controlplane/leadertasks/directory_sync.go
@@ -177,7 +177,7 @@
 		assignment.PlacementOwners = engineplan.PlacementOwners(service, committed.PlacementOwners, routerNodes, live)
 		if !assignment.Equal(committed) {
 			l.logDraft(assignment, share)
-			proposals.Go(func() { l.commitAssignment(ctx, assignment) })
+			proposals.Go(func() { l.commitAssignment(ctx, assignment, committed) })
 		}
 		l.commandRoles(ctx, now, live, committed)
 	}
--- a/internal/controlplane/leadertasks/options.go
+++ b/internal/controlplane/leadertasks/options.go
@@ -37,6 +37,8 @@
 	ActiveRouterNodes(now clock.Microseconds) []node.Node
 	// ReportedWork returns the cumulative busy times that active routers have reported, by router.
 	ReportedWork(now clock.Microseconds) map[string][]registry.BusyTime
+	// AppliesAssignmentChanges tells whether the builds of all members of a shard know changes of assignments.
+	AppliesAssignmentChanges(shard int) bool
 	// ZoneUnavailable tells whether engines of a zone get no new work.
 	ZoneUnavailable(configuration *config.View, zone string) bool
 }
--- a/internal/controlplane/leadertasks/service_leader.go
+++ b/internal/controlplane/leadertasks/service_leader.go
@@ -107,7 +107,7 @@
 	for service := range serviceNames(view) {
 		assignment, desiredStates := l.draftAssignment(service, term, view, configuration)
 		if !assignment.Equal(view.Assignments[service]) {
-			l.commitAssignment(ctx, assignment)
+			l.commitAssignment(ctx, assignment, view.Assignments[service])
 		}
 		for name, desired := range desiredStates {
 			if report, isFresh := l.freshReport(name); isFresh {
@@ -137,12 +137,25 @@
 	return services
 }
 
-func (l *ServiceLeader) commitAssignment(parent context.Context, assignment pairing.Assignment) {
+// commitAssignment proposes an assignment in place of the committed one.
+func (l *ServiceLeader) commitAssignment(parent context.Context, assignment, committed pairing.Assignment) {
 	ctx, cancel := context.WithTimeout(parent, commitTimeout.Duration())
 	defer cancel()
-	operation := registry.Operation{Kind: registry.OperationAssign, Assignment: assignment}
-	_, err := l.options.Shard.Propose(ctx, func() ([]byte, error) { return operation.Encode(), nil })
+	operation := l.encodeAssignment(assignment, committed)
+	_, err := l.options.Shard.Propose(ctx, func() ([]byte, error) { return operation, nil })
 	if err != nil {
 		log.Warn().Str("server", l.options.Server).Str("service", assignment.Service).Err(err).Msg("assignment not committed")
 	}
 }
+
+// encodeAssignment returns the operation that puts an assignment in place of the committed one: their difference, if
+// that expresses it and all members know differences, or else the whole assignment.
+func (l *ServiceLeader) encodeAssignment(assignment, committed pairing.Assignment) []byte {
+	assignment.Version = committed.Version + 1
+	if l.options.Fleet.AppliesAssignmentChanges(l.options.Shard.Index()) {
+		if change, expressed := assignment.ChangeFrom(committed); expressed {
+			return registry.EncodeAssignmentChange(change)
+		}
+	}
+	return registry.Operation{Kind: registry.OperationAssign, Assignment: assignment}.Encode()
+}
--- a/internal/controlplane/message_routing.go
+++ b/internal/controlplane/message_routing.go
@@ -47,6 +47,19 @@
 	return sender
 }
 
+// membersKnow tells whether the builds of all other members of a shard are known to have the features.
+func (s *Server) membersKnow(shard int, features messaging.Features) bool {
+	var others []string
+	for _, member := range s.shards[shard].Membership().Members {
+		if member.Address != "" && member.Address != s.self.Address {
+			others = append(others, member.Address)
+		}
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return messaging.KnownByAll(s.senders, others, features)
+}
+
 func (s *Server) registerMessageHandler() {
 	transport.Handle(s.internalTransport, messaging.DeliverPath, func(
 		ctx context.Context, request *messaging.MessageBatch,
@@ -60,7 +73,11 @@
 func (s *Server) handleMessages(ctx context.Context, batch *messaging.MessageBatch) *messaging.MessageBatchResponse {
 	s.meter.SetDaemonZone(batch.Sender.Address, batch.Sender.Zone)
 	now := s.clock.Now()
-	response := &messaging.MessageBatchResponse{Incarnation: s.Incarnation, Clock: now}
+	response := &messaging.MessageBatchResponse{
+		Incarnation: s.Incarnation,
+		Clock:       now,
+		Features:    messaging.KnownFeatures,
+	}
 	age, ageKnown := batch.Age(now, s.Incarnation)
 	isLate := !ageKnown || age > s.DeltaDuration()
 	for _, message := range batch.Messages {
--- a/internal/controlplane/messaging/batch.go
+++ b/internal/controlplane/messaging/batch.go
@@ -27,4 +27,6 @@
 	Incarnation uint64
 	Clock       clock.Microseconds
 	Echoes      []consensus.Echo
+	// Features are what the receiver's build knows.
+	Features Features
 }
--- a/internal/controlplane/messaging/sender.go
+++ b/internal/controlplane/messaging/sender.go
@@ -57,6 +57,8 @@
 	queue   chan outboundMessage
 	// queuedBytes is the size of the messages in the queue.
 	queuedBytes atomic.Int64
+	// features are those of the other server's last response, nil before.
+	features atomic.Pointer[Features]
 
 	// lock guards ageEstimator.
 	lock         sync.Mutex
@@ -68,6 +70,14 @@
 	return &Sender{options: options, queue: make(chan outboundMessage, maxQueuedMessages)}
 }
 
+// Features returns what the build of the other server knows; false if it has not responded yet.
+func (s *Sender) Features() (Features, bool) {
+	if features := s.features.Load(); features != nil {
+		return *features, true
+	}
+	return 0, false
+}
+
 func (s *Sender) stamp(sentAt clock.Microseconds) messageage.Stamp {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -149,6 +159,7 @@
 	if err != nil {
 		return false
 	}
+	s.features.Store(&response.Features)
 	reading := messageage.ClockReading{Incarnation: response.Incarnation, Clock: response.Clock}
 	s.lock.Lock()
 	s.ageEstimator.RecordReading(s.options.Clock.Now(), reading)
--- a/internal/controlplane/messaging/wire.go
+++ b/internal/controlplane/messaging/wire.go
@@ -41,28 +41,31 @@
 	return nil
 }
 
-// wireBatchResponse is a MessageBatchResponse as it is sent by encoding/gob.
-type wireBatchResponse struct {
+// MessageBatchResponseWire is a MessageBatchResponse as it is sent by encoding/gob.
+type MessageBatchResponseWire struct {
 	Incarnation uint64
 	Clock       clock.Microseconds
 	Echoes      []consensus.EchoWire
+	// Features was added later: a response without it has none.
+	Features uint64
 }
 
 // WireForm implements transport.WireMarshaler.
 func (m *MessageBatchResponse) WireForm() any {
-	return &wireBatchResponse{
+	return &MessageBatchResponseWire{
 		Incarnation: m.Incarnation,
 		Clock:       m.Clock,
 		Echoes:      wireform.ConvertSlice(m.Echoes, (*consensus.Echo).ToWire),
+		Features:    uint64(m.Features),
 	}
 }
 
 // NewWireForm implements transport.WireUnmarshaler.
-func (*MessageBatchResponse) NewWireForm() any { return &wireBatchResponse{} }
+func (*MessageBatchResponse) NewWireForm() any { return &MessageBatchResponseWire{} }
 
 // FromWire implements transport.WireUnmarshaler.
 func (m *MessageBatchResponse) FromWire(wireForm any) error {
-	wire, err := wireform.Assert[wireBatchResponse](wireForm)
+	wire, err := wireform.Assert[MessageBatchResponseWire](wireForm)
 	if err != nil {
 		return err
 	}
@@ -70,6 +73,7 @@
 		Incarnation: wire.Incarnation,
 		Clock:       wire.Clock,
 		Echoes:      wireform.ConvertSlice(wire.Echoes, (*consensus.EchoWire).ToDomain),
+		Features:    Features(wire.Features),
 	}
 	return nil
 }
--- a/internal/controlplane/messaging/wire_test.go
+++ b/internal/controlplane/messaging/wire_test.go
@@ -50,7 +50,7 @@
 }
 
 func TestMessages_RejectOtherWireForms(t *testing.T) {
-	if (&MessageBatch{}).FromWire(&wireBatchResponse{}) == nil {
+	if (&MessageBatch{}).FromWire(&MessageBatchResponseWire{}) == nil {
 		t.Error("a batch is set from a response")
 	}
 	if (&MessageBatchResponse{}).FromWire(&wireBatch{}) == nil {
--- a/internal/controlplane/service_leaders.go
+++ b/internal/controlplane/service_leaders.go
@@ -7,6 +7,7 @@
 	"coursepass/internal/controlplane/autoscale"
 	"coursepass/internal/controlplane/capacityorder"
 	"coursepass/internal/controlplane/leadertasks"
+	"coursepass/internal/controlplane/messaging"
 	"coursepass/internal/controlplane/replication"
 	"coursepass/internal/node"
 	"coursepass/internal/platformport"
@@ -76,3 +77,8 @@
 func (f fleetView) ZoneUnavailable(configuration *config.View, zone string) bool {
 	return f.server.zoneUnavailable(configuration, zone)
 }
+
+// AppliesAssignmentChanges tells whether the builds of all members of a shard know changes of assignments.
+func (f fleetView) AppliesAssignmentChanges(shard int) bool {
+	return f.server.membersKnow(shard, messaging.FeatureAssignmentChange)
+}
--- a/internal/state/pairing/assignment.go
+++ b/internal/state/pairing/assignment.go
@@ -43,6 +43,8 @@
 	// PlacementOwners are the routers that place the requests of all routers, in order; none if each
 	// router places its own.
 	PlacementOwners []PlacementOwner
+	// Version tells the assignments of one term apart: each that its leader commits has the next one.
+	Version uint64
 }
 
 // PlacementOwner is a router that places the requests of all routers at some of a service's engines. Its
@@ -54,7 +56,7 @@
 	Zone    string
 }
 
-// Equal reports whether two assignments are the same for engines and routers.
+// Equal reports whether two assignments are the same for engines and routers, whatever their versions.
 func (a Assignment) Equal(other Assignment) bool {
 	return a.Term == other.Term &&
 		a.Owner == other.Owner &&
--- a/internal/state/pairing/wire.go
+++ b/internal/state/pairing/wire.go
@@ -13,6 +13,8 @@
 	Away    []string
 	// PlacementOwners was added later: an entry without it has none.
 	PlacementOwners []PlacementOwner
+	// Version was added later: an entry without it has none.
+	Version uint64
 }
 
 // ToWire returns the assignment as it is stored. Both share slices and maps.
@@ -28,6 +30,7 @@
 		Away:    a.ChangingRole,
 
 		PlacementOwners: a.PlacementOwners,
+		Version:         a.Version,
 	}
 }
 
@@ -44,5 +47,6 @@
 		ChangingRole:   a.Away,
 
 		PlacementOwners: a.PlacementOwners,
+		Version:         a.Version,
 	}
 }
--- a/internal/state/registry/state.go
+++ b/internal/state/registry/state.go
@@ -115,17 +115,25 @@
 	if outbox.IsOperation(data) {
 		return s.applyToOutbox(data)
 	}
-	var operation OperationWire
-	code := errcode.MalformedMessage
-	if gob.NewDecoder(bytes.NewReader(data)).Decode(&operation) == nil {
-		code = s.applyOperation(operation.ToDomain())
-	}
+	code := s.applyEncoded(data)
 	if code == errcode.OK {
 		s.Revision++
 	}
 	return gobcodec.Encode(Result{Code: code, Revision: s.Revision}.ToWire())
 }
 
+// applyEncoded changes the state by an encoded operation, unless it returns another code than OK.
+func (s *State) applyEncoded(data []byte) errcode.Code {
+	if isAssignmentChange(data) {
+		return s.changeAssignment(data)
+	}
+	var operation OperationWire
+	if gob.NewDecoder(bytes.NewReader(data)).Decode(&operation) != nil {
+		return errcode.MalformedMessage
+	}
+	return s.applyOperation(operation.ToDomain())
+}
+
 // applyToOutbox applies an operation on the outbox. One that can't be decoded has a result without codes.
 func (s *State) applyToOutbox(data []byte) []byte {
 	var result outbox.Result
