--- a/cmd/coursepass/commands.go
+++ b/cmd/coursepass/commands.go
@@ -38,8 +38,11 @@
 	coreCommand   struct{ controlplane.Settings }
 	routerCommand struct{ router.Settings }
 	engineCommand struct{ emulator.Settings }
-	fleetCommand  struct{ localfleet.Settings }
-	loadCommand   struct{ loadgen.Settings }
+	fleetCommand  struct {
+		localfleet.Settings
+		LogLevel string `long:"log-level" description:"lowest level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"warn"`
+	}
+	loadCommand struct{ loadgen.Settings }
 )
 
 // runner is a command. Run returns when the command has ended, with the reason if it failed.
--- a/cmd/coursepass/tools.go
+++ b/cmd/coursepass/tools.go
@@ -13,6 +13,7 @@
 
 // Run runs a fleet in this process, for a limited time if one is set.
 func (f *fleetCommand) Run() error {
+	configureLogging(f.LogLevel)
 	fleet, err := localfleet.New(f.Settings)
 	if err != nil {
 		return err
--- a/internal/dataplane/router/router.go
+++ b/internal/dataplane/router/router.go
@@ -175,12 +175,13 @@
 		func() error { return transport.Serve(serveCtx, internalListener, r.internal, clock.Second) },
 		func() error { return transport.Serve(serveCtx, publicListener, r.publicHandler(), clock.Second) },
 	}
+	// The senders have their context before the first request can arrive.
+	r.answers.Start(serveCtx)
 	serveErrors := make(chan error, len(servers))
 	for _, serve := range servers {
 		go func() { serveErrors <- serve() }()
 	}
 	go r.gossip.Run(serveCtx)
-	r.answers.Start(serveCtx)
 	go r.runFreshnessReads(serveCtx)
 	if r.usage != nil {
 		go r.usage.run(serveCtx)
--- a/internal/faulttest/localfleet/fleet.go
+++ b/internal/faulttest/localfleet/fleet.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 
 	"coursepass/internal/adminclient"
@@ -149,7 +151,7 @@
 	})
 }
 
-// Run starts all daemons, prints their addresses, applies the configuration document and serves
+// Run starts all daemons, applies the configuration document, prints the daemons' addresses and serves
 // until the context ends. It returns at once with the first error of a daemon.
 func (f *Fleet) Run(parent context.Context) error {
 	runContext, stop := context.WithCancel(parent)
@@ -167,8 +169,10 @@
 	if err := f.startDaemons(runContext, data); err != nil {
 		return err
 	}
-	f.printAddresses()
-	go f.applyConfiguration()
+	go func() {
+		f.applyConfiguration()
+		f.printAddresses(os.Stdout)
+	}()
 	select {
 	case err := <-f.failures:
 		return err
@@ -262,15 +266,17 @@
 	return nil
 }
 
-// printAddresses prints the flags with which the load generator finds this fleet.
-func (f *Fleet) printAddresses() {
+// printAddresses prints the flags with which other commands find this fleet, on a line of their own after a blank
+// one: logs and what the configuration brought may stand before them.
+func (f *Fleet) printAddresses(output io.Writer) {
+	var arguments []string
 	for _, address := range f.ControlPlaneAddresses {
-		fmt.Printf("--core %s ", address)
+		arguments = append(arguments, "--core "+address)
 	}
 	for _, address := range f.RouterAddresses {
-		fmt.Printf("--router %s ", address)
+		arguments = append(arguments, "--router "+address)
 	}
-	fmt.Println()
+	_, _ = fmt.Fprintf(output, "\nThe fleet is running. Flags for other commands:\n%s\n", strings.Join(arguments, " "))
 }
 
 // applyConfiguration applies the configuration document, and retries while the fleet has no leader
