Leave headers that no daemon reads out of calls between daemons

User-Agent and Connect-Protocol-Version (71 bytes) are left out of requests, Date and Accept-Encoding (60) out of answers. Builds that send them and builds that don't read each other: connect requires none. HTTP/2 is still to be weighed.

--- a/internal/transport/internal_rpc.go
+++ b/internal/transport/internal_rpc.go
@@ -55,9 +55,11 @@
 		Network: network,
 		schemas: newSchemaCache(),
 		mux:     http.NewServeMux(),
-		client:  &http.Client{Transport: NewHTTPTransport(Options{Network: network, Meter: meter})},
-		served:  map[string]*resources.Procedure{},
-		other:   meter.Resources.Procedure(resources.Server, resources.ProcedureOther),
+		client: &http.Client{
+			Transport: leanTransport{NewHTTPTransport(Options{Network: network, Meter: meter})},
+		},
+		served: map[string]*resources.Procedure{},
+		other:  meter.Resources.Procedure(resources.Server, resources.ProcedureOther),
 	}
 }
 
@@ -71,7 +73,7 @@
 		return
 	}
 	countServed(request, i.procedureOf(request))
-	recorder := &statusRecorder{ResponseWriter: writer}
+	recorder := &leanRecorder{ResponseWriter: writer}
 	i.mux.ServeHTTP(recorder, request)
 	switch recorder.status {
 	case http.StatusBadRequest,
@@ -91,18 +93,6 @@
 	return i.other
 }
 
-// statusRecorder is a response writer that remembers the status of the answer.
-type statusRecorder struct {
-	http.ResponseWriter
-	status int
-}
-
-// WriteHeader records the status and sends it.
-func (s *statusRecorder) WriteHeader(status int) {
-	s.status = status
-	s.ResponseWriter.WriteHeader(status)
-}
-
 // Handle registers the function that answers a procedure. An error that the function returns is
 // sent with connect's code "aborted"; a panic is answered with an internal error.
 func Handle[Request, Response any](
