Limit the large states that a daemon sends at once; ask a near peer where one was withheld

Cause (inferred, to be measured): when all daemons of a large fleet restart, each asks one of five members for the state. With 3,000 engines that is 372 KB, which a member with half a processor compresses in some 50 ms; 60 daemons at each make each wait longer than the 2 s of a comparison, all give up and ask again.

Who is shown a newer head without its state asks a near peer next, so that the state spreads from whoever has it.

--- a/internal/controlplane/shardstate/state_machine_test.go
+++ b/internal/controlplane/shardstate/state_machine_test.go
@@ -82,7 +82,7 @@
 // entries only.
 func repair(source, store *gossip.Store) int {
 	entriesOnly := 0
-	response := source.CompareDigest(gossip.Digest{Heads: store.Heads()})
+	response := source.CompareDigest(gossip.Digest{Heads: store.Heads()}, func(int) bool { return true })
 	for _, update := range response.Updates {
 		if update.Data == nil {
 			entriesOnly++
--- a/internal/dataplane/router/freshness_reads.go
+++ b/internal/dataplane/router/freshness_reads.go
@@ -217,6 +217,9 @@
 	}
 	if behind && r.repairLock.TryLock() {
 		defer r.repairLock.Unlock()
-		r.gossip.Repair(ctx, address)
+		// A member that many daemons ask at once sends the state to a few of them, and those to others.
+		if withheld := r.gossip.Repair(ctx, address); withheld {
+			r.gossip.RepairFromNearPeer(ctx)
+		}
 	}
 }
--- a/internal/gossip/peers/gossip.go
+++ b/internal/gossip/peers/gossip.go
@@ -41,8 +41,10 @@
 	transport *transport.Internal
 	// trueTime learns of the wall clocks in the responses to shuffles.
 	trueTime *timesync.Clock
-	seeds    atomic.Pointer[[]string]
-	nextSeed atomic.Int64
+	// stateBudget limits what comparisons are answered with.
+	stateBudget *stateBudget
+	seeds       atomic.Pointer[[]string]
+	nextSeed    atomic.Int64
 }
 
 // Options of a Gossip. All are required.
@@ -62,6 +64,8 @@
 		Store:     options.Store,
 		transport: options.Transport,
 		trueTime:  options.TrueTime,
+
+		stateBudget: newStateBudget(options.TrueTime.Monotonic()),
 	}
 	service.SetSeeds(options.Seeds)
 	service.registerHandlers()
@@ -82,7 +86,9 @@
 	transport.Handle(g.transport, comparePath, func(
 		_ context.Context, digest *gossip.Digest,
 	) (*gossip.DigestResponse, error) {
-		response := g.CompareDigest(*digest)
+		response := g.CompareDigest(*digest, func(size int) bool {
+			return g.stateBudget.admit(g.trueTime.Monotonic(), size)
+		})
 		return &response, nil
 	})
 }
@@ -218,17 +224,30 @@
 	_, _ = transport.Call[gossip.PushRequest, gossip.Digest](ctx, g.transport, target, request)
 }
 
-// Repair compares digests with one address and stores what was missing here.
-func (g *Gossip) Repair(ctx context.Context, address string) {
+// Repair compares digests with one address and stores what was missing here. It tells whether the other side had
+// something newer and did not send it, since it sends too much already.
+func (g *Gossip) Repair(ctx context.Context, address string) (withheld bool) {
 	digest := &gossip.Digest{Heads: g.Heads()}
 	target := transport.Target{Address: address, Procedure: comparePath, Timeout: compareTimeout}
 	response, err := transport.Call[gossip.Digest, gossip.DigestResponse](ctx, g.transport, target, digest)
 	if err != nil {
-		return
+		return false
 	}
 	for _, update := range response.Updates {
 		if g.Accept(update) {
 			g.Repaired.Add(1)
 		}
 	}
+	for _, remote := range response.Heads {
+		head, exists := g.Head(remote.Shard)
+		withheld = withheld || !exists || head.Index < remote.Index && head.Revision < remote.Revision
+	}
+	return withheld
+}
+
+// RepairFromNearPeer compares digests with a random peer of the own zone, or of another if none is known there.
+func (g *Gossip) RepairFromNearPeer(ctx context.Context) {
+	if nearest := g.Sample(2); len(nearest) > 0 { //nolint:mnd // One near and one far.
+		g.Repair(ctx, nearest[0].InternalAddress)
+	}
 }
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -193,8 +193,9 @@
 }
 
 // CompareDigest returns what the sender of a digest lacks, in the smallest form: nothing but the head if it
-// has the state already, entries if they are smaller than the snapshot, or the snapshot.
-func (s *Store) CompareDigest(digest Digest) DigestResponse {
+// has the state already, entries if they are smaller than the snapshot, or the snapshot. An update that admit,
+// called with its size, rejects is left out; its head is among those of the response.
+func (s *Store) CompareDigest(digest Digest, admit func(bytes int) bool) DigestResponse {
 	remoteHeads := map[int]Head{}
 	for _, head := range digest.Heads {
 		remoteHeads[head.Shard] = head
@@ -205,11 +206,15 @@
 	for shard, stored := range s.records {
 		response.Heads = append(response.Heads, stored.Head)
 		remote, exists := remoteHeads[shard]
-		switch {
-		case !exists:
-			response.Updates = append(response.Updates, stored.update())
-		case remote.Index < stored.Index:
-			response.Updates = append(response.Updates, stored.updateSince(remote))
+		if exists && remote.Index >= stored.Index {
+			continue
+		}
+		update := stored.update
+		if exists {
+			update = func() Update { return stored.updateSince(remote) }
+		}
+		if missing := update(); admit(missing.Size()) {
+			response.Updates = append(response.Updates, missing)
 		}
 	}
 	return response
--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -95,6 +95,18 @@
 	}
 }
 
+// admitAll admits updates of any size.
+func admitAll(int) bool { return true }
+
+func TestStore_CompareDigestLeavesOutWhatIsNotAdmitted(t *testing.T) {
+	store := NewStore(decodeBytes, nil)
+	store.Accept(snapshotUpdate(4))
+	response := store.CompareDigest(Digest{}, func(size int) bool { return size != 4 })
+	if len(response.Updates) != 0 || len(response.Heads) != 1 {
+		t.Errorf("%d updates and %d heads, want the head only", len(response.Updates), len(response.Heads))
+	}
+}
+
 func TestStore_CompareDigestSendsSmallestForm(t *testing.T) {
 	store := NewStore(decodeBytes, nil)
 	store.Accept(snapshotUpdate(4))
@@ -113,7 +125,7 @@
 		{"behind by more", []Head{{Shard: 1, Index: 3, Revision: 3}}, "data 6, entries 0"},
 	} {
 		t.Run(testCase.name, func(t *testing.T) {
-			response := store.CompareDigest(Digest{Heads: testCase.heads})
+			response := store.CompareDigest(Digest{Heads: testCase.heads}, admitAll)
 			updates := ""
 			for _, update := range response.Updates {
 				updates += fmt.Sprintf("data %d, entries %d", len(update.Data), len(update.Entries))
@@ -145,7 +157,7 @@
 	if !store.AcceptState(update, countingState{byteState(make([]byte, 4)), &encoded}) {
 		t.Fatal("the state was not accepted")
 	}
-	store.CompareDigest(Digest{Heads: []Head{update.Head}})
+	store.CompareDigest(Digest{Heads: []Head{update.Head}}, admitAll)
 	if encoded != 0 {
 		t.Errorf("encoded %d times before anybody asked", encoded)
 	}
@@ -153,7 +165,7 @@
 		if stored, _ := store.Get(1); len(stored.Data) != 4 {
 			t.Errorf("%d bytes, want 4", len(stored.Data))
 		}
-		store.CompareDigest(Digest{})
+		store.CompareDigest(Digest{}, admitAll)
 	}
 	if encoded != 1 {
 		t.Errorf("encoded %d times, want once", encoded)
