--- a/internal/gossip/peers/gossip_time_test.go
+++ b/internal/gossip/peers/gossip_time_test.go
@@ -37,7 +37,7 @@
 	created.internal = transport.NewInternal("fleet", topology.NewTrafficMeter("norte"), host)
 	created.Gossip = peers.NewGossip(peers.Options{
 		View:      peers.NewView(self, 8, 4, uint64(number)),
-		Store:     gossip.NewStore(nil, nil),
+		Store:     gossip.NewStore(decodeBytes, nil),
 		Transport: created.internal,
 		TrueTime:  created.trueTime,
 		Seeds:     []string{gossiperAddress(0)},
