--- a/internal/controlplane/engineplan/placement_owners.go
+++ b/internal/controlplane/engineplan/placement_owners.go
@@ -65,15 +65,13 @@
 		})
 	}
 	hash := rendezvous.New(service)
+	ranks := map[pairing.PlacementOwner]int{}
+	for _, owner := range committed {
+		ranks[owner] = -1
+	}
 	slices.SortFunc(candidates, func(left, right pairing.PlacementOwner) int {
-		isCommitted := func(owner pairing.PlacementOwner) int {
-			if slices.Contains(committed, owner) {
-				return 0
-			}
-			return 1
-		}
 		return cmp.Or(
-			cmp.Compare(isCommitted(left), isCommitted(right)),
+			cmp.Compare(ranks[left], ranks[right]),
 			cmp.Compare(hash.Score(right.Router), hash.Score(left.Router)),
 			cmp.Compare(left.Router, right.Router),
 		)
