--- a/internal/faulttest/simulation/membership.go
+++ b/internal/faulttest/simulation/membership.go
@@ -27,7 +27,7 @@
 	s.incarnation++
 	replicaConfig.Incarnation = s.incarnation
 	replicaConfig.InitialMembership = membership
-	s.stateMachine = &AppendLog{}
+	s.stateMachine = s.cluster.newStateMachine()
 	s.wakePending = false
 	clear(s.pendingProposals)
 	replica, output := consensus.StartLearner(replicaConfig, s.stateMachine, history, s.LocalTime())
--- a/internal/faulttest/simulation/reads.go
+++ b/internal/faulttest/simulation/reads.go
@@ -10,14 +10,24 @@
 	consensus.PendingRead
 	// startedAt is in true time.
 	startedAt clock.Microseconds
+	// answer is called with the extension once the read is confirmed. It may be nil.
+	answer func(extension consensus.StateMachine)
 }
 
 // BeginRead has the server begin a read, which only a leader does.
-func (s *Server) BeginRead() {
+func (s *Server) BeginRead() { s.BeginExtendedRead(nil) }
+
+// BeginExtendedRead is BeginRead with a function that is called once the read has begun, and returns the one that is
+// called with the extension once the read is confirmed. It may be nil.
+func (s *Server) BeginExtendedRead(begin func() func(extension consensus.StateMachine)) {
 	s.runInIncarnation(s.incarnation, func() {
 		read, isLeader, output := s.replica.BeginRead(s.LocalTime())
 		if isLeader {
-			s.pendingReads = append(s.pendingReads, pendingRead{read, s.cluster.Now()})
+			pending := pendingRead{PendingRead: read, startedAt: s.cluster.Now()}
+			if begin != nil {
+				pending.answer = begin()
+			}
+			s.pendingReads = append(s.pendingReads, pending)
 		}
 		s.handleOutput(output)
 	})
@@ -36,6 +46,9 @@
 		default:
 			s.cluster.ReadsAnswered++
 			s.checkRead(read)
+			if read.answer != nil {
+				read.answer(s.stateMachine.Extension)
+			}
 		}
 	}
 }
--- a/internal/faulttest/simulation/soak.go
+++ b/internal/faulttest/simulation/soak.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"coursepass/internal/clock"
+	"coursepass/internal/consensus"
 	"coursepass/internal/faulttest/emulator"
 )
 
@@ -41,7 +42,7 @@
 
 	settleTime = 5 * clock.Second
 	// A disk stall that began before the last fault lasts up to maxStallTime.
-	settleTimeWithErasedDisks = 10 * clock.Second
+	settleTimeWithStalledDisks = 10 * clock.Second
 
 	maxFreezeTime    = 8 * clock.Second
 	minSlowSyncTime  = 50 * clock.Millisecond
@@ -113,6 +114,21 @@
 	return soak
 }
 
+// NewExtendedSoak makes a soak of three servers whose state machines have an extension each. It has neither routers nor
+// an engine; the caller proposes. It serves again as soon as there is a leader, when a sync that stalled before the last
+// fault may still go on, so that it takes the longer time to settle.
+func NewExtendedSoak(seed uint64, newExtension func() consensus.StateMachine) *Soak {
+	simulator := NewSimulator(seed)
+	network := NewNetwork(simulator, minLatency, maxLatency)
+	cluster := NewExtendedCluster(network, defaultServers, newExtension)
+	soak := &Soak{Cluster: cluster, settleTime: settleTimeWithStalledDisks}
+	soak.Observer = soak.SendEngineCommands()
+	for _, server := range soak.Servers {
+		server.clockDrift = (2*simulator.Random.Float64() - 1) * maxClockDrift
+	}
+	return soak
+}
+
 // Run injects faults for a duration of virtual time, heals all, checks the invariants and returns the
 // violations.
 func (s *Soak) Run(duration clock.Microseconds) []string {
@@ -183,7 +199,7 @@
 // EraseDisksRepeatedly erases disks again and again besides the other faults, each as soon as the
 // last one has caught up, so that memberships change in the middle of everything.
 func (s *Soak) EraseDisksRepeatedly() {
-	s.settleTime = settleTimeWithErasedDisks
+	s.settleTime = settleTimeWithStalledDisks
 	s.Every(eraseInterval, func() bool {
 		if s.healed {
 			return false
