--- a/internal/transport/lean_headers_test.go
+++ b/internal/transport/lean_headers_test.go
@@ -52,7 +52,7 @@
 
 func TestCall_SendsOnlyHeadersThatAreRead(t *testing.T) {
 	type message struct{ Text string }
-	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	plain, err := SystemNetwork.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
