--- a/internal/transport/lean_headers.go
+++ b/internal/transport/lean_headers.go
@@ -14,8 +14,9 @@
 	acceptEncodingHeader  = "Accept-Encoding"
 )
 
-// leanTransport leaves headers that no daemon reads out of requests.
-type leanTransport struct{ http.RoundTripper }
+// leanTransport leaves headers that no daemon reads out of requests. It embeds the transport, so that a client can
+// close the transport's idle connections.
+type leanTransport struct{ *http.Transport }
 
 // RoundTrip sends a copy of the request without the headers.
 func (l leanTransport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -24,7 +25,7 @@
 	lean.Header.Del(protocolVersionHeader)
 	// An empty value keeps net/http from adding its own.
 	lean.Header[userAgentHeader] = []string{""}
-	return l.RoundTripper.RoundTrip(&lean)
+	return l.Transport.RoundTrip(&lean)
 }
 
 // leanRecorder is a response writer that leaves out headers that no daemon reads, and remembers the status of the
