--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -15,6 +15,8 @@
 	// The requests: tokens of the prompt and of the answer.
 	longPrompt = 300_000
 	longAnswer = 200
+	// releases is the maximum number of releases, one after the other.
+	releases = 4
 )
 
 // leaving replaces engines that make tokens one after the other, in order, while long prompts are read. A request
@@ -28,6 +30,19 @@
 	if err != nil {
 		return false, err
 	}
+	// Which engine makes the tokens of a request is the routers' choice, so a round may miss the leaving ones.
+	for round := range releases {
+		out.add("release %d of %d at most", round+1, releases)
+		if c.release(f, zones, trouble) {
+			return true, nil
+		}
+		time.Sleep(settled)
+	}
+	return false, nil
+}
+
+// release sends long prompts while engines are replaced, and reports whether a request reached one too late.
+func (c *cloud) release(f *fleet, zones []string, trouble bool) (broken bool) {
 	var group sync.WaitGroup
 	if trouble {
 		group.Go(func() { c.replace(zones) })
@@ -47,31 +62,30 @@
 		}
 	}
 	group.Wait()
-	broken := false
 	late := c.arrivalsWhere(func(a arrival) bool {
 		return !a.engine.shownAt.IsZero() && a.at.After(a.engine.shownAt.Add(drainBound))
 	})
 	for _, a := range late {
-		broken = true
-		out.add("BROKEN: %s reached engine %s %.2f s after the list showed it as leaving", a.try, a.engine.id, a.at.Sub(a.engine.shownAt).Seconds())
+		c.record.add("BROKEN: %s reached engine %s %.2f s after the list showed it as leaving", a.try, a.engine.id, a.at.Sub(a.engine.shownAt).Seconds())
 	}
 	for _, got := range answers {
-		out.add("%s: status %d, %d pieces of %d, complete %v, runs %d", got.try, got.status, got.pieces, longAnswer, got.complete, c.runs[got.try])
+		c.record.add("%s: status %d, %d pieces of %d, complete %v, runs %d", got.try, got.status, got.pieces, longAnswer, got.complete, c.runs[got.try])
 	}
-	return broken, nil
+	return len(late) > 0
 }
 
 // replace replaces engines that make tokens, one at a time: the new one starts first, then the old one leaves.
 func (c *cloud) replace(zones []string) {
 	var old []*engine
-	for len(old) < replacedEngines {
-		zone := zones[len(old)%len(zones)]
+	// The zones take turns; a zone without a further engine that makes tokens is passed over.
+	for turn := 0; len(old) < replacedEngines && turn < replacedEngines*len(zones); turn++ {
+		zone := zones[turn%len(zones)]
 		for _, e := range c.engines {
 			chosen := false
 			for _, other := range old {
 				chosen = chosen || other == e
 			}
-			if e.zone == zone && e.phase == word("write") && !chosen {
+			if e.zone == zone && e.phase == word("write") && !chosen && !e.draining {
 				old = append(old, e)
 				break
 			}
