Late requests: the leader rejects what a later change has overtaken

Cause: a request to take the zone back was held in a frozen member, which passed it on when it resumed, seconds after its caller had given up, had the request acknowledged elsewhere and had evacuated the zone again. The guard against such requests, the revision that the receiving server had applied, was attached by members only; a server without a slot attached none, and a request without one passed. The member that passed it on checked no suspension. The same cause on related paths: requests by the product's own interface (zones, maintenance windows, registrations and drains of engines) had no guard, and an evacuation sent again, which changes nothing, did not count as later than a return that was held.

The leader remembers the index of the latest change of each subject that it appended in its term and rejects, in the step that would append, a request that observed less. The index before its term counts for all subjects, so nothing is replicated and builds before apply the same log. Requests of earlier builds carry no index: they are rejected unless their revision is the one in force.

Why it works: whatever was acknowledged after the request was taken stands in the log above the index, and no clock of two servers is compared.

--- a/internal/compat/additions.go
+++ b/internal/compat/additions.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 
+	"coursepass/internal/controlplane"
 	"coursepass/internal/controlplane/messaging"
 	"coursepass/internal/gossip/peers"
 	"coursepass/internal/state/config"
@@ -65,6 +66,10 @@
 		reflect.TypeFor[messaging.MessageBatchResponse]():     {"Features"},
 		reflect.TypeFor[messaging.MessageBatchResponseWire](): {"Features"},
 	}},
+	{name: "observed-index", fields: map[reflect.Type][]string{
+		reflect.TypeFor[controlplane.ControlRequest]():     {"ObservedIndex"},
+		reflect.TypeFor[controlplane.ControlRequestWire](): {"ObservedIndex"},
+	}},
 }
 
 // adds reports whether a field of a struct belongs to the addition.
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -58,6 +58,10 @@
 	return r.role == roleLeader && r.commitIndex >= r.leadership.firstTermIndex
 }
 
+// FirstTermIndex returns the index of the first entry that this replica appended as the present leader. Its value means
+// nothing while this replica does not lead.
+func (r *Replica) FirstTermIndex() uint64 { return r.leadership.firstTermIndex }
+
 // appendEntry appends an entry of ownTerm and returns its index.
 func (r *Replica) appendEntry(data []byte) uint64 {
 	last, _ := r.LastPosition()
--- a/internal/controlplane/configuration_operations.go
+++ b/internal/controlplane/configuration_operations.go
@@ -39,9 +39,10 @@
 
 // configure drafts the operation of a request and proposes it to shard 0, which this server must lead. If the key of
 // the request was committed before, configure returns the outcome of the earlier operation. An outcome with a code
-// other than OK means that the request was rejected. For errors see replication.ShardReplica.Propose.
+// other than OK means that the request was rejected. For observedIndex see ControlRequest, and for errors
+// replication.ShardReplica.Propose.
 func (s *Server) configure(
-	ctx context.Context, shard *replication.ShardReplica, request config.Request,
+	ctx context.Context, shard *replication.ShardReplica, request config.Request, observedIndex uint64,
 ) (config.Outcome, error) {
 	permit, err := s.acquireExpansion(ctx, request)
 	if err != nil {
@@ -68,25 +69,25 @@
 			Msg("operation repeated")
 		repeated := config.Operation{}
 		repeated.Key = request.Key
-		return s.proposeOperation(ctx, shard, repeated, request.Kind)
+		return s.proposeOperation(ctx, shard, replication.Change{}, repeated)
 	}
 	operation, err := s.draftConfirmed(ctx, shard, &view, request, permit)
 	if err != nil {
 		return rejectedOutcome(view.Revision, err)
 	}
-	return s.proposeOperation(ctx, shard, operation, request.Kind)
+	return s.proposeOperation(ctx, shard, s.configurationChange(operation.Request, observedIndex), operation)
 }
 
 func (s *Server) proposeOperation(
-	ctx context.Context, shard *replication.ShardReplica, operation config.Operation, kind config.OperationKind,
+	ctx context.Context, shard *replication.ShardReplica, change replication.Change, operation config.Operation,
 ) (config.Outcome, error) {
-	data, err := shard.Propose(ctx, func() ([]byte, error) { return operation.Encode(), nil })
+	data, err := shard.ProposeChange(ctx, change, func() ([]byte, error) { return operation.Encode(), nil })
 	if err != nil {
 		return config.Outcome{}, err
 	}
 	outcome, err := config.DecodeOutcome(data)
 	if err == nil && outcome.Code == errcode.OK {
-		log.Info().Str("server", s.Name).Str("kind", string(kind)).Uint64("revision", outcome.Revision).
+		log.Info().Str("server", s.Name).Str("kind", string(operation.Kind)).Uint64("revision", outcome.Revision).
 			Msg("configuration committed")
 	}
 	return outcome, errcode.Wrap(err, errcode.MalformedMessage, "outcome of a configuration operation")
--- a/internal/controlplane/counters.go
+++ b/internal/controlplane/counters.go
@@ -17,6 +17,10 @@
 	LateElectionMessages atomic.Int64
 	// ReceivedMessages counts the messages that were passed to a replica.
 	ReceivedMessages atomic.Int64
+	// ChangesAfterPause counts the requests that were rejected because this server was suspended recently.
+	ChangesAfterPause atomic.Int64
+	// UnobservedChanges counts the forwarded requests that were rejected because they name no log index.
+	UnobservedChanges atomic.Int64
 }
 
 // counters returns the values of all counters by their public names.
@@ -28,6 +32,7 @@
 		"messages-late":    s.LateElectionMessages.Load(),
 		"diary-mishaps":    s.reservations.LogErrors.Load(),
 	}
+	s.addLateChangeCounters(counters)
 	s.addTransportCounters(counters)
 	s.addLogCounters(counters)
 	s.addGossipCounters(counters)
@@ -47,6 +52,15 @@
 	return counters
 }
 
+// addLateChangeCounters adds the counts of the requests that were rejected because they may have come too late.
+func (s *Server) addLateChangeCounters(counters map[string]int64) {
+	counters["changes-after-pause"] = s.ChangesAfterPause.Load()
+	counters["changes-unobserved"] = s.UnobservedChanges.Load()
+	for _, shard := range s.shards {
+		counters["changes-overtaken"] += shard.OvertakenChanges.Load()
+	}
+}
+
 func (s *Server) addTransportCounters(counters map[string]int64) {
 	counters["foreign"] = s.internalTransport.ForeignRequests.Load()
 	counters["garbage"] = s.internalTransport.MalformedRequests.Load()
--- a/internal/controlplane/forwarding_wire.go
+++ b/internal/controlplane/forwarding_wire.go
@@ -16,6 +16,8 @@
 	Service   string
 	Hops      int
 	Origin    string
+	// ObservedIndex was added after the first build. It is 0 in the request of a build that does not send it.
+	ObservedIndex uint64
 }
 
 // ToWire returns the wire form of the request.
@@ -28,6 +30,8 @@
 		Service:   c.Service,
 		Hops:      c.Hops,
 		Origin:    c.Origin,
+
+		ObservedIndex: c.ObservedIndex,
 	}
 }
 
@@ -41,6 +45,8 @@
 		Service:   c.Service,
 		Hops:      c.Hops,
 		Origin:    c.Origin,
+
+		ObservedIndex: c.ObservedIndex,
 	}
 }
 
--- a/internal/controlplane/http_api.go
+++ b/internal/controlplane/http_api.go
@@ -84,7 +84,7 @@
 func (s *Server) respond(
 	writer http.ResponseWriter, request *http.Request, controlRequest *ControlRequest, write func(*ControlResponse),
 ) {
-	response, err := s.execute(request.Context(), controlRequest)
+	response, err := s.Execute(request.Context(), controlRequest)
 	if err == nil && response.Code != errcode.OK {
 		err = errcode.New(response.Code, "%s", response.Text)
 	}
--- a/internal/controlplane/leader_forwarding.go
+++ b/internal/controlplane/leader_forwarding.go
@@ -35,6 +35,12 @@
 	// Hops is how many times the request was forwarded, and Origin is the address of the server that forwarded it last.
 	Hops   int
 	Origin string
+	// ObservedIndex is a log index of the shard that was known to be committed while the caller waited. It is set for
+	// unconditional changes, and 0 in requests that an earlier build took.
+	ObservedIndex uint64
+
+	// observedFrom is the address of the member that reported ObservedIndex. It is empty if this server did.
+	observedFrom string
 }
 
 // ControlResponse holds the outcome of an operation, or the state that was read.
@@ -111,13 +117,16 @@
 	return address, nil
 }
 
-// nextMemberAddress returns the address of another member, in round-robin order. It returns an error if the request was
-// forwarded before.
+// nextMemberAddress returns the address of the member that reported the request's ObservedIndex, or else of another
+// member, in round-robin order. It returns an error if the request was forwarded before.
 func (s *Server) nextMemberAddress(shard forwardedShard, request *ControlRequest) (string, error) {
 	members := shard.Membership().Members
 	if len(members) == 0 {
 		return "", errcode.New(errcode.NotLeader, "the replica of shard %d has not started", shard.Index())
 	}
+	if request.Hops == 0 && request.observedFrom != "" {
+		return request.observedFrom, nil
+	}
 	for range members {
 		member := members[int(s.nextMember.Add(1))%len(members)]
 		if request.Hops == 0 && !member.Vacant() && member.Address != s.self.Address {
@@ -133,11 +142,12 @@
 	response := &ControlResponse{}
 	switch {
 	case request.Configure != nil:
-		outcome, err := s.configure(ctx, shard, *request.Configure)
+		outcome, err := s.configure(ctx, shard, *request.Configure, request.ObservedIndex)
 		response.Outcome = outcome
 		return response, err
 	case request.Engines != nil:
-		data, err := shard.Propose(ctx, func() ([]byte, error) { return request.Engines.Encode(), nil })
+		change := s.engineChange(shard.Index(), request)
+		data, err := shard.ProposeChange(ctx, change, func() ([]byte, error) { return request.Engines.Encode(), nil })
 		if err != nil {
 			return nil, err
 		}
@@ -185,6 +195,9 @@
 
 func (s *Server) handleForwarded(ctx context.Context, request *ControlRequest) *ControlResponse {
 	request.Hops = max(request.Hops, 1)
+	if err := s.checkForwarded(request); err != nil {
+		return &ControlResponse{Outcome: config.Outcome{Code: errcode.NoQuorum, Text: errcode.Text(err)}}
+	}
 	response, err := s.execute(ctx, request)
 	if err != nil {
 		outcome := config.Outcome{Code: errcode.CodeOf(err, errcode.OutcomeUnknown), Text: errcode.Text(err)}
--- a/internal/controlplane/leader_retry.go
+++ b/internal/controlplane/leader_retry.go
@@ -23,35 +23,17 @@
 // deadline of the context if the context has one. An outcome means that the operation was committed, or that it was
 // rejected and changed nothing. After an error with code OutcomeUnknown, the operation may still take effect.
 func (s *Server) Configure(parent context.Context, request config.Request) (config.Outcome, error) {
-	if request.Kind == config.OperationEvacuate || request.Kind == config.OperationReturn {
-		if s.pauseDetector.RecentlyPaused(s.clock.Now()) {
-			return config.Outcome{}, errcode.New(errcode.NoQuorum,
-				"this server was suspended; the operation may be out of date and was not executed")
-		}
-		request.Observed = s.appliedObservation(parent)
+	controlRequest := &ControlRequest{Configure: &request}
+	if err := s.acceptChange(parent, controlRequest); err != nil {
+		return config.Outcome{}, err
 	}
-	response, err := s.executeWithRetry(parent, &ControlRequest{Configure: &request})
+	response, err := s.executeWithRetry(parent, controlRequest)
 	if err != nil {
 		return config.Outcome{}, err
 	}
 	return response.Outcome, nil
 }
 
-// appliedObservation returns the configuration revision that this server has applied, or nil if the server has no slot
-// and therefore applies nothing.
-func (s *Server) appliedObservation(parent context.Context) *config.Observation {
-	shard := s.shards[0]
-	status := shard.PublishedStatus()
-	if status == nil || status.Slot < 0 {
-		return nil
-	}
-	var revision uint64
-	if !shard.RunInLoop(parent, func() { revision = s.configuration.CurrentRevision() }) {
-		return nil
-	}
-	return &config.Observation{Revision: revision}
-}
-
 // Read returns the committed configuration by a linearizable read. It returns within the same time as Configure.
 func (s *Server) Read(parent context.Context) (config.View, error) {
 	response, err := s.executeWithRetry(parent, &ControlRequest{Read: true})
--- a/internal/controlplane/replication/proposal.go
+++ b/internal/controlplane/replication/proposal.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/phuslu/log"
+
 	"coursepass/internal/consensus"
 	"coursepass/internal/errcode"
 )
@@ -22,8 +24,16 @@
 // operation; it runs in the shard's loop, and only if this server leads the shard. After an error with code
 // OutcomeUnknown the operation may still take effect; after any other error it was not proposed.
 func (r *ShardReplica) Propose(ctx context.Context, draftOperation func() ([]byte, error)) ([]byte, error) {
+	return r.ProposeChange(ctx, Change{}, draftOperation)
+}
+
+// ProposeChange is Propose for an operation that a caller has asked for. It rejects a change that may have been overtaken by
+// another one on the same subject.
+func (r *ShardReplica) ProposeChange(
+	ctx context.Context, change Change, draftOperation func() ([]byte, error),
+) ([]byte, error) {
 	proposed := make(chan proposal, 1)
-	queued := r.loop.Put(ctx, func() { r.beginProposal(ctx, draftOperation, proposed) })
+	queued := r.loop.Put(ctx, func() { r.beginProposal(ctx, change, draftOperation, proposed) })
 	if !queued {
 		return nil, errcode.New(errcode.NoQuorum, "shard %d: the context ended before the proposal was queued",
 			r.options.Shard)
@@ -54,18 +64,23 @@
 // beginProposal appends the drafted operation to the log. It runs in the shard's loop. It sends the proposal to the
 // proposed channel before it processes the replica's output, since processing the output may complete the proposal.
 func (r *ShardReplica) beginProposal(
-	ctx context.Context, draftOperation func() ([]byte, error), proposed chan<- proposal,
+	ctx context.Context, change Change, draftOperation func() ([]byte, error), proposed chan<- proposal,
 ) {
 	if r.replica == nil || !r.replica.LeadershipConfirmed(r.options.Clock.Now()) {
 		proposed <- proposal{err: r.notLeaderError()}
 		return
 	}
+	if err := r.checkChange(change); err != nil {
+		proposed <- proposal{err: err}
+		return
+	}
 	operation, err := draftOperation()
 	if err != nil {
 		proposed <- proposal{err: err}
 		return
 	}
 	index, term, _, output := r.replica.Propose(r.options.Clock.Now(), operation)
+	r.changes.record(change.Subject, index)
 	resultChannel := make(chan []byte, 1)
 	r.lock.Lock()
 	r.pendingProposals[proposalID{index, term}] = resultChannel
@@ -74,6 +89,21 @@
 	r.processOutput(ctx, output)
 }
 
+// checkChange returns an error if the change may undo a later one. The check and the append that follows run in the same
+// step of the loop, so that no other change can come between them.
+func (r *ShardReplica) checkChange(change Change) error {
+	commitIndex, _ := r.replica.CommitIndex()
+	_, term := r.replica.Leader()
+	r.changes.beginTerm(term, r.replica.FirstTermIndex())
+	err := r.changes.check(change, commitIndex)
+	if err != nil {
+		r.OvertakenChanges.Add(1)
+		log.Warn().Str("server", r.options.Self.Name).Int("shard", r.options.Shard).Str("subject", change.Subject).
+			Uint64("observedIndex", change.ObservedIndex).Uint64("commitIndex", commitIndex).Msg("late change rejected")
+	}
+	return err
+}
+
 // completeProposals returns the results of the proposals that were applied. If the replica dropped its
 // proposals, the remaining ones end with an unknown outcome.
 func (r *ShardReplica) completeProposals(output consensus.Output) {
--- a/internal/controlplane/replication/shard_replica.go
+++ b/internal/controlplane/replication/shard_replica.go
@@ -48,6 +48,11 @@
 	// publishedHead is the head at which the most recently published state was first published.
 	publishedHead gossip.Head
 	pendingReads  []*pendingRead
+	// changes holds the positions of the changes that this server has appended as leader.
+	changes changeHistory
+
+	// OvertakenChanges counts the changes that were rejected because a later one may have come first.
+	OvertakenChanges atomic.Int64
 
 	// lock guards pendingProposals.
 	lock             sync.Mutex
--- a/internal/faulttest/simulation/memory_network.go
+++ b/internal/faulttest/simulation/memory_network.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -43,6 +42,7 @@
 	wallClockErrors map[string]clock.Microseconds
 	// conns are the open ends of connections.
 	conns map[*memoryConn]bool
+	holds []*HeldWrites
 }
 
 // NewMemoryNetwork makes a network on which every write takes the latency.
@@ -180,6 +180,11 @@
 	peer     *memoryConn
 	// lostData is set once data was sent over a partitioned link. The network's lock guards it.
 	lostData bool
+	// heldData is what a HeldWrites holds back, and wasHeld is set once there was any. The network's lock guards both.
+	heldData []byte
+	wasHeld  bool
+	// closeOnce has only the first Close end the sender's side of a connection whose data was held back.
+	closeOnce sync.Once
 }
 
 // Write takes the latency of the link, and loses the data if the link is partitioned.
@@ -188,15 +193,28 @@
 	m.network.lock.Lock()
 	partitioned := m.network.partitioned[link{m.from, m.to}]
 	m.lostData = m.lostData || partitioned
+	held := !partitioned && m.network.holdBack(m, data)
 	m.network.lock.Unlock()
-	if partitioned {
+	if partitioned || held {
 		return len(data), nil
 	}
 	return m.Conn.Write(data)
 }
 
-// Close closes this end; the other one then reads an end of file.
+// Close closes this end; the other one then reads an end of file, unless data on the connection was held back.
 func (m *memoryConn) Close() error {
+	m.network.lock.Lock()
+	wasHeld := m.wasHeld
+	m.network.lock.Unlock()
+	if wasHeld {
+		m.closeOnce.Do(m.closeForSender)
+		return nil
+	}
+	return m.abort()
+}
+
+// abort closes this end at once.
+func (m *memoryConn) abort() error {
 	m.network.lock.Lock()
 	delete(m.network.conns, m)
 	m.network.lock.Unlock()
@@ -244,19 +262,23 @@
 	delete(m.diskFaults, host)
 	m.killCounts[host]++
 	delete(m.frozenUntil, host)
-	var closers []io.Closer
+	var listeners []*memoryListener
 	for _, listener := range m.listeners {
 		if listener.host == host {
-			closers = append(closers, listener)
+			listeners = append(listeners, listener)
 		}
 	}
+	var conns []*memoryConn
 	for conn := range m.conns {
 		if conn.from == host || conn.to == host {
-			closers = append(closers, conn)
+			conns = append(conns, conn)
 		}
 	}
 	m.lock.Unlock()
-	for _, closer := range closers {
-		_ = closer.Close() // Closing a pipe or a listener cannot fail.
+	for _, listener := range listeners {
+		_ = listener.Close() // Closing a listener cannot fail.
+	}
+	for _, conn := range conns {
+		_ = conn.abort() // Closing a pipe cannot fail.
 	}
 }
--- a/internal/faulttest/simulation/test_fleet_test.go
+++ b/internal/faulttest/simulation/test_fleet_test.go
@@ -190,7 +190,14 @@
 
 // addServer adds a server. One with the name of an earlier one replaces it from its next start on.
 func (t *testFleet) addServer(name, zone, internalAddress, publicAddress, replaces string) {
-	daemonSettings := controlplane.Settings{
+	daemonSettings := t.serverSettings(name, zone, internalAddress, publicAddress)
+	daemonSettings.ReplaceMember = replaces
+	t.addControlServer(daemonSettings)
+}
+
+// serverSettings returns the settings of a server that may found the group.
+func (t *testFleet) serverSettings(name, zone, internalAddress, publicAddress string) controlplane.Settings {
+	return controlplane.Settings{
 		Common: settings.Common{
 			Name:         name,
 			Zone:         zone,
@@ -200,11 +207,15 @@
 			RegionByZone: t.regionOf,
 		},
 		Internal:      settings.Internal{InternalAddress: internalAddress, Shards: 2},
-		ReplaceMember: replaces,
 		Timing:        settings.Timing{DeltaMillis: 200, LeaseMillis: 3000},
 		CompactionMiB: 16,
 		DataDirectory: filepath.Join(t.dataDirectory, name),
 	}
+}
+
+// addControlServer adds a server with its settings.
+func (t *testFleet) addControlServer(daemonSettings controlplane.Settings) {
+	name, internalAddress, publicAddress := daemonSettings.Name, daemonSettings.InternalAddress, daemonSettings.Public
 	t.addDaemon(name, internalAddress, publicAddress, func(host simulation.Host) (daemon, error) {
 		server, err := controlplane.New(daemonSettings, settings.NewIncarnation(), host)
 		t.lock.Lock()
