Ask again directly before each send what an engine may still be given

Cause: both engines of an attempt are selected before the prompt is prefilled, which may take seconds. Before the run was sent only the rate of a warm-up was asked again, so an engine that was draining, gone, changing its role or in an evacuated zone was admitted. A run whose engine had ended already was not sent, but gave up the KV cache, so that the prompt was computed again.

Change: Balancer.Admit asks for the phase of the call whether the engine is listed and in service, and the engine client asks Attempt.Withdrawn once the connection is open. A run that was not sent keeps its KV cache for another decode engine, chosen by the placement owner, who knows the replacements of all routers, or else by the router, now with the cost of the transfer. Such a run costs neither an attempt nor a token. The product's own interface asks its table again after the wait for the key and after the prefill.

Ruled out: to select the decode engine after the prefill (an overload would prefill prompts for nothing, docs/data-plane.md), and to let a draining engine have the run within the bound (a router doesn't know when the list showed it).

--- a/internal/dataplane/balancer/eligibility.go
+++ b/internal/dataplane/balancer/eligibility.go
@@ -42,6 +42,11 @@
 	AllowedRegions []string
 }
 
+// RegionRestricted reports whether the request must not be sent to some of the regions.
+func (r Requirements) RegionRestricted() bool {
+	return len(r.ClosedRegions) > 0 || len(r.AllowedRegions) > 0
+}
+
 // eligible returns the engines that a request may be sent to for prefill and for decode, and sets their
 // failure penalties. An engine of role pairing.RoleBoth is in both lists. The caller holds the lock.
 func (b *Balancer) eligible(
@@ -68,15 +73,34 @@
 
 // mayUse reports whether a request may be sent to an engine, regardless of the health of the engine.
 func (b *Balancer) mayUse(now clock.Microseconds, engine *engineState, requirements Requirements) bool {
-	switch {
-	case engine.Draining,
-		b.changingRole[engine.Incarnation],
-		b.evacuatedZones[engine.Zone],
-		requirements.ExcludedEngines[engine.Incarnation],
-		!b.regionAllowed(engine.Zone, requirements):
+	if !b.inService(engine) || requirements.ExcludedEngines[engine.Incarnation] {
 		return false
 	}
-	return b.withinWarmupRate(now, engine)
+	return b.regionAllowed(engine.Zone, requirements) && b.withinWarmupRate(now, engine)
+}
+
+// inService reports whether a listed engine gets new calls: it is not draining, keeps its role, and its zone
+// is not evacuated.
+func (b *Balancer) inService(engine *engineState) bool {
+	return !engine.Draining && !b.changingRole[engine.Incarnation] && !b.evacuatedZones[engine.Zone]
+}
+
+// accepts reports whether a listed engine may be given a call of a phase.
+func (b *Balancer) accepts(engine *engineState, phase Phase) bool {
+	otherRole := pairing.RoleDecode
+	if phase == PhaseDecode {
+		otherRole = pairing.RolePrefill
+	}
+	return b.inService(engine) && engine.Role != otherRole
+}
+
+// Accepts reports whether an engine may still be given a call of a phase: the engine is listed and in service,
+// and its role permits the call.
+func (b *Balancer) Accepts(incarnation string, phase Phase) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	engine, listed := b.engines[incarnation]
+	return listed && b.accepts(engine, phase)
 }
 
 // regionAllowed reports whether a request may be sent to the region of a zone.
--- a/internal/dataplane/balancer/fixtures_test.go
+++ b/internal/dataplane/balancer/fixtures_test.go
@@ -81,7 +81,7 @@
 func admittedOf100(lb *balancer.Balancer, now clock.Microseconds, incarnation string) int {
 	admitted := 0
 	for range 100 {
-		if lb.Admit(now, incarnation) {
+		if lb.Admit(now, incarnation, balancer.PhaseDecode) {
 			admitted++
 		}
 	}
--- a/internal/dataplane/balancer/outlier_detection_test.go
+++ b/internal/dataplane/balancer/outlier_detection_test.go
@@ -66,7 +66,7 @@
 	engines := newEngines(pairing.RoleBoth, pairing.RoleBoth)
 	Convey("an engine with a pending response and no activity is not selected, unless no other may be used", t, func() {
 		lb := newTestBalancer(engines, pairing.Assignment{})
-		lb.Admit(clock.Second, engineName(0))
+		lb.Admit(clock.Second, engineName(0), balancer.PhaseDecode)
 		later := clock.Second + 800*clock.Millisecond
 		So(lb.Unresponsive(later, engineName(0)), ShouldBeTrue)
 		So(lb.Unresponsive(later, engineName(1)), ShouldBeFalse)
--- a/internal/dataplane/balancer/selection.go
+++ b/internal/dataplane/balancer/selection.go
@@ -211,30 +211,24 @@
 }
 
 // SelectDecoder returns the decoder with the lowest cost among those that may fetch a KV cache from the
-// prefiller. It replaces a decoder that Select has returned, after the prefill has run. It returns false if
-// there is no such decoder.
+// prefiller, which need not be listed any more. It replaces a decoder that Select has returned, after the
+// prefill has run. It returns false if there is no such decoder.
 func (b *Balancer) SelectDecoder(
 	now clock.Microseconds,
 	requirements Requirements,
-	prefillIncarnation string,
+	prefiller platformport.Engine,
 ) (platformport.Engine, bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	prefiller := b.engine(prefillIncarnation)
-	group := b.affinityGroup(prefiller)
-	_, decoders := b.eligible(now, requirements)
-	candidates, _ := b.candidates(now, requirements, decoders)
-	best := candidate{cost: math.MaxInt64}
-	for _, decoder := range candidates {
-		if decoder.engineState == prefiller || b.affinityGroup(decoder.engineState) != group {
-			continue
-		}
-		if decoder.cost < best.cost {
-			best = decoder
-		}
+	state, listed := b.engines[prefiller.Incarnation]
+	if !listed {
+		state = &engineState{Engine: prefiller}
 	}
-	if best.engineState == nil {
+	_, decoders := b.eligible(now, requirements)
+	_, cheapest := b.candidates(now, requirements, decoders)
+	best, found := b.cheapestDecoder(state, cheapest, totalTokens(requirements.Prompt))
+	if !found {
 		return platformport.Engine{}, false
 	}
-	return best.Engine, best.Incarnation != ""
+	return best.Engine, true
 }
--- a/internal/dataplane/balancer/shared_placement.go
+++ b/internal/dataplane/balancer/shared_placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"coursepass/internal/clock"
+	"coursepass/internal/platformport"
 	"coursepass/internal/state/pairing"
 )
 
@@ -184,6 +185,21 @@
 	return Selection{Prefiller: prefillerState.Engine, Decoder: decoderState.Engine, Split: true, PlacedByOwner: true}, true
 }
 
+// ResolveDecoder returns the decoder that a placement owner has chosen to fetch a KV cache from a prefiller,
+// which need not be listed any more. It returns false if this router may not use the decoder or has a reason to
+// avoid it.
+func (b *Balancer) ResolveDecoder(
+	now clock.Microseconds, requirements Requirements, prefiller platformport.Engine, decoder string,
+) (platformport.Engine, bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	state, ok := b.usable(now, requirements, decoder)
+	if !ok || !b.accepts(state, PhaseDecode) || decoder == prefiller.Incarnation {
+		return platformport.Engine{}, false
+	}
+	return state.Engine, b.affinityGroup(state) == b.affinityGroup(&engineState{Engine: prefiller})
+}
+
 // usable returns the state of an engine. It returns false if this router may not send the request to the
 // engine, or if the engine is not listed, ejected or lagging. The caller holds the lock.
 func (b *Balancer) usable(
--- a/internal/dataplane/balancer/warmup.go
+++ b/internal/dataplane/balancer/warmup.go
@@ -65,14 +65,14 @@
 	return engine.sendsInWindow(now) < limit
 }
 
-// Admit counts a call that is sent to an engine now. It returns false and counts nothing if the engine is
-// warming up and has got the share of this router since Select returned it. Each admitted call must be ended
-// with Release.
-func (b *Balancer) Admit(now clock.Microseconds, incarnation string) bool {
+// Admit counts a call of a phase that is about to be sent to an engine. It returns false and counts nothing
+// if the engine may not be given the call any more since Select returned it, or is warming up and has got the
+// share of this router. Each admitted call must be ended with Release.
+func (b *Balancer) Admit(now clock.Microseconds, incarnation string, phase Phase) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	engine := b.engine(incarnation)
-	if !b.withinWarmupRate(now, engine) {
+	engine, listed := b.engines[incarnation]
+	if !listed || !b.accepts(engine, phase) || !b.withinWarmupRate(now, engine) {
 		return false
 	}
 	if engine.pendingResponses == 0 {
--- a/internal/dataplane/balancer/warmup_test.go
+++ b/internal/dataplane/balancer/warmup_test.go
@@ -49,7 +49,7 @@
 			_, firstSelected := lb.Select(now, longRequest(1))
 			_, secondSelected := lb.Select(now, longRequest(2))
 			for _, selected := range []bool{firstSelected, secondSelected} {
-				if selected && lb.Admit(now, engineName(0)) {
+				if selected && lb.Admit(now, engineName(0), balancer.PhaseDecode) {
 					sent = append(sent, now)
 				}
 			}
@@ -85,7 +85,7 @@
 		})
 		admitted := admittedOf100(lb, clock.Second, engineName(0))
 		So(admitted, ShouldBeLessThanOrEqualTo, maxWarmupSends)
-		So(lb.Admit(5*clock.Second, engineName(0)), ShouldBeTrue)
+		So(lb.Admit(5*clock.Second, engineName(0), balancer.PhaseDecode), ShouldBeTrue)
 	})
 }
 
@@ -123,3 +123,34 @@
 func exceedsWarmupRate(lb *balancer.Balancer, now clock.Microseconds, incarnation string) bool {
 	return admittedOf100(lb, now, incarnation) < 100
 }
+
+// An engine may leave service between its selection and the admission of the call. Admission must ask again, for each
+// way of leaving and for the phase of the call.
+func TestAdmit_RejectsEnginesOutOfService(t *testing.T) {
+	draining := newEngines(pairing.RoleBoth)
+	draining[0].Draining = true
+	changingRole := pairing.Assignment{ChangingRole: []string{engineName(0)}}
+	for _, testCase := range []struct {
+		name            string
+		lb              *balancer.Balancer
+		prefill, decode bool
+	}{
+		{"in both roles", newTestBalancer(newEngines(pairing.RoleBoth), pairing.Assignment{}), true, true},
+		{"a prefill engine", newTestBalancer(newEngines(pairing.RolePrefill), pairing.Assignment{}), true, false},
+		{"a decode engine", newTestBalancer(newEngines(pairing.RoleDecode), pairing.Assignment{}), false, true},
+		{"draining", newTestBalancer(draining, pairing.Assignment{}), false, false},
+		{"gone", newTestBalancer(nil, pairing.Assignment{}), false, false},
+		{"changing its role", newTestBalancer(newEngines(pairing.RoleBoth), changingRole), false, false},
+		{"in an evacuated zone", newTestBalancer(newEngines(pairing.RoleBoth), pairing.Assignment{}, "norte"), false, false},
+	} {
+		Convey(testCase.name, t, func() {
+			for phase, expected := range map[balancer.Phase]bool{
+				balancer.PhasePrefill: testCase.prefill,
+				balancer.PhaseDecode:  testCase.decode,
+			} {
+				So(testCase.lb.Accepts(engineName(0), phase), ShouldEqual, expected)
+				So(testCase.lb.Admit(clock.Second, engineName(0), phase), ShouldEqual, expected)
+			}
+		})
+	}
+}
--- a/internal/dataplane/httpapi/decode.go
+++ b/internal/dataplane/httpapi/decode.go
@@ -13,10 +13,19 @@
 )
 
 // decode sends the ticket to the decode engine, which generates the tokens. Another engine gets the
-// same ticket only if the first engine's own response proves that it did not start.
+// same ticket only if the first one left service before the ticket was sent, or if its own response proves
+// that it did not start.
 func (h *Handler) decode(
 	ctx context.Context, request *forwardedRequest, pair enginePair, ticket engineapi.Ticket,
 ) error {
+	if !request.engineTable.InService(pair.decoder.Engine, pairing.RoleDecode) {
+		pair.decoder.Done(registry.DoneInfo{ObservedAt: h.clock.Now()})
+		// No engine has failed, so that a retry needs no decision of the leader.
+		request.retryAllowed = true
+		if err := h.replaceDecoder(ctx, request, &pair); err != nil {
+			return err
+		}
+	}
 	for attempts := 1; ; attempts++ {
 		err := h.runDecode(ctx, request, pair, ticket)
 		if err == nil || request.State != lifecycle.StateTransferred {
@@ -34,20 +43,29 @@
 			return h.failAfterPrefill(ctx, request, pair, errcode.Wrap(err, errcode.ExecutionFailed, "decode after a completed prefill"))
 		}
 		h.Retries.Add(1)
-		selectDecoder := func(now clock.Microseconds, requirements registry.Requirements) (selected, eligible bool) {
-			requirements.Role = pairing.RoleDecode
-			requirements.PrefillEngine = pair.prefiller.Name
-			pair.decoder, eligible = request.engineTable.Pick(now, requirements)
-			return pair.decoder != nil, eligible
-		}
-		err = h.waitForEngine(ctx, request, operationDecode, selectDecoder)
-		if err != nil {
-			err = errcode.Wrap(err, errcode.ExecutionFailed, "prompt was prefilled, but no engine decoded it")
-			return h.failAfterPrefill(ctx, request, pair, err)
+		if err := h.replaceDecoder(ctx, request, &pair); err != nil {
+			return err
 		}
 	}
 }
 
+// replaceDecoder waits for another decode engine that is paired with the prefill engine. If there is none, it
+// fails the request.
+func (h *Handler) replaceDecoder(ctx context.Context, request *forwardedRequest, pair *enginePair) error {
+	selectDecoder := func(now clock.Microseconds, requirements registry.Requirements) (selected, eligible bool) {
+		requirements.Role = pairing.RoleDecode
+		requirements.PrefillEngine = pair.prefiller.Name
+		pair.decoder, eligible = request.engineTable.Pick(now, requirements)
+		return pair.decoder != nil, eligible
+	}
+	err := h.waitForEngine(ctx, request, operationDecode, selectDecoder)
+	if err == nil {
+		return nil
+	}
+	err = errcode.Wrap(err, errcode.ExecutionFailed, "prompt was prefilled, but no engine decoded it")
+	return h.failAfterPrefill(ctx, request, *pair, err)
+}
+
 // failAfterPrefill fails a request whose prompt was prefilled, tells the prefill engine to cancel the
 // run, and returns the error with which the request ends.
 func (h *Handler) failAfterPrefill(ctx context.Context, request *forwardedRequest, pair enginePair, err error) error {
--- a/internal/dataplane/httpapi/request_forwarding.go
+++ b/internal/dataplane/httpapi/request_forwarding.go
@@ -7,6 +7,7 @@
 	"coursepass/internal/clock"
 	"coursepass/internal/dataplane/lifecycle"
 	"coursepass/internal/errcode"
+	"coursepass/internal/state/pairing"
 	"coursepass/internal/state/policy"
 	"coursepass/internal/state/registry"
 )
@@ -46,7 +47,7 @@
 }
 
 // reserveEngines starts an attempt. It waits for a pair of engines with capacity, and then for the
-// reservation of the key.
+// reservation of the key. If one of the engines leaves service during that, it waits for another pair.
 func (h *Handler) reserveEngines(ctx context.Context, request *forwardedRequest) (enginePair, error) {
 	var pair enginePair
 	if err := request.Transition(lifecycle.StateMatched); err != nil {
@@ -63,13 +64,29 @@
 		return enginePair{}, err
 	}
 	if err := h.awaitReservation(ctx, request); err != nil {
-		pair.prefiller.Done(registry.DoneInfo{ObservedAt: h.clock.Now()})
-		pair.decoder.Done(registry.DoneInfo{ObservedAt: h.clock.Now()})
+		h.releasePair(pair)
 		return enginePair{}, err
 	}
+	for !pair.inService(request.engineTable) {
+		h.releasePair(pair)
+		if err := h.waitForEngine(ctx, request, operationServe, selectPair); err != nil {
+			return enginePair{}, err
+		}
+	}
 	return pair, nil
 }
 
+// inService reports whether both engines still get new work.
+func (e enginePair) inService(table *registry.Table) bool {
+	return table.InService(e.prefiller.Engine, pairing.RolePrefill) && table.InService(e.decoder.Engine, pairing.RoleDecode)
+}
+
+// releasePair ends the runs that are reserved at a pair of engines and were not sent.
+func (h *Handler) releasePair(pair enginePair) {
+	pair.prefiller.Done(registry.DoneInfo{ObservedAt: h.clock.Now()})
+	pair.decoder.Done(registry.DoneInfo{ObservedAt: h.clock.Now()})
+}
+
 // runAttempt runs one attempt on a pair of engines.
 func (h *Handler) runAttempt(ctx context.Context, request *forwardedRequest, pair enginePair) error {
 	ticket, err := h.prefill(ctx, request, pair.prefiller)
--- a/internal/dataplane/proxy/attempt.go
+++ b/internal/dataplane/proxy/attempt.go
@@ -21,6 +21,9 @@
 	// outcomeReselect: no call was sent, or only a first prefill call, which does not count as an
 	// attempt. Engines are selected again, even if the request has no attempts left.
 	outcomeReselect
+	// outcomeOtherDecoder: the generate call was not sent after the prompt was prefilled. The attempt goes on
+	// at another decode engine, which fetches the KV cache.
+	outcomeOtherDecoder
 	// outcomeMayHaveRun: the request may have run, and the client has not received a response head.
 	outcomeMayHaveRun
 	// outcomeInterrupted: the client received a response head, and the response ended early.
@@ -48,22 +51,33 @@
 			f.resetForRetry(f.headWritten)
 			return failure
 		}
-		f.tryTransition(lifecycle.StateTransferred)
 		attempt.KVSource = selection.Prefiller.Address + "/" + kvHandle.Name
 		attempt.ModelVersion = kvHandle.ModelVersion
 	}
-	decoder, ok := f.admitDecoder(selection)
-	if !ok && selection.Split {
-		f.releaseKV(ctx, selection.Prefiller.Address, attempt.KVSource)
-		f.resetForRetry(f.headWritten)
-		return outcomeRetryElsewhere
+	for {
+		outcome := f.attemptDecode(ctx, selection, attempt)
+		if outcome != outcomeOtherDecoder {
+			return outcome
+		}
+		f.proxy.DecodersReplaced.Add(1)
 	}
+}
+
+// attemptDecode sends the generate call to the selected decode engine or, if that engine may not get it
+// any more, to another one that can fetch the KV cache.
+func (f *forwardedRequest) attemptDecode(
+	ctx context.Context, selection balancer.Selection, attempt platformport.Attempt,
+) attemptOutcome {
+	if selection.Split {
+		f.tryTransition(lifecycle.StateTransferred)
+	}
+	decoder, ok := f.admitDecoder(ctx, selection)
 	if !ok {
-		f.resetForRetry(f.headWritten)
-		return outcomeReselect
+		return f.endWithoutDecoder(ctx, selection, attempt)
 	}
 	selection.Decoder = decoder
 	attempt.Address, attempt.Incarnation = decoder.Address, decoder.Incarnation
+	attempt.Withdrawn = func() bool { return !f.maySendTo(decoder, balancer.PhaseDecode) }
 	if selection.Split && !f.acquireArrivalTokens() {
 		f.releaseKV(ctx, selection.Prefiller.Address, attempt.KVSource)
 		f.balancer.Release(attempt.Incarnation)
@@ -74,21 +88,48 @@
 	return f.generate(ctx, selection, attempt)
 }
 
+// endWithoutDecoder ends an attempt for which there is no decode engine. It returns the outcome of the
+// attempt.
+func (f *forwardedRequest) endWithoutDecoder(
+	ctx context.Context, selection balancer.Selection, attempt platformport.Attempt,
+) attemptOutcome {
+	f.resetForRetry(f.headWritten)
+	if !selection.Split {
+		return outcomeReselect
+	}
+	f.releaseKV(ctx, selection.Prefiller.Address, attempt.KVSource)
+	return outcomeRetryElsewhere
+}
+
+// maySendTo reports whether an engine may still be given a call of a phase. The list of engines, the
+// evacuated zones and the regions under maintenance may have changed since the engine was selected.
+func (f *forwardedRequest) maySendTo(engine platformport.Engine, phase balancer.Phase) bool {
+	region := f.proxy.Regions.RegionOf(engine.Zone)
+	return f.balancer.Accepts(engine.Incarnation, phase) && !f.proxy.maintenance.HasStarted(f.now(), region)
+}
+
 // admitDecoder admits the request at the selected decode engine. If that engine no longer accepts the
 // request and the prompt is already prefilled, it admits the request at another decode engine that
 // can fetch the KV cache. It reports false if there is no such engine.
-func (f *forwardedRequest) admitDecoder(selection balancer.Selection) (platformport.Engine, bool) {
-	// The region may have closed for maintenance during the prefill.
-	region := f.proxy.Regions.RegionOf(selection.Decoder.Zone)
-	regionClosed := f.proxy.maintenance.HasStarted(f.now(), region)
-	if !regionClosed && f.balancer.Admit(f.now(), selection.Decoder.Incarnation) {
-		return selection.Decoder, true
+func (f *forwardedRequest) admitDecoder(
+	ctx context.Context, selection balancer.Selection,
+) (platformport.Engine, bool) {
+	decoder := selection.Decoder
+	if !f.maySendTo(decoder, balancer.PhaseDecode) {
+		f.excluded[decoder.Incarnation] = true
+	}
+	if !f.excluded[decoder.Incarnation] && f.balancer.Admit(f.now(), decoder.Incarnation, balancer.PhaseDecode) {
+		return decoder, true
 	}
 	if !selection.Split {
 		return platformport.Engine{}, false
 	}
-	alternative, ok := f.balancer.SelectDecoder(f.now(), f.requirements(), selection.Prefiller.Incarnation)
-	if !ok || !f.balancer.Admit(f.now(), alternative.Incarnation) {
+	requirements := f.requirements()
+	alternative, ok := f.placeDecoder(ctx, requirements, selection.Prefiller)
+	if !ok {
+		alternative, ok = f.balancer.SelectDecoder(f.now(), requirements, selection.Prefiller)
+	}
+	if !ok || !f.balancer.Admit(f.now(), alternative.Incarnation, balancer.PhaseDecode) {
 		return platformport.Engine{}, false
 	}
 	return alternative, true
@@ -107,7 +148,7 @@
 // recordFailedCall reports a failed call to the load balancer, unless the whole request has ended.
 func (f *forwardedRequest) recordFailedCall(ctx context.Context, now clock.Microseconds, call failedCall) {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, call.outcome == platformport.OutcomeWithdrawn:
 	case call.outcome == platformport.OutcomeMisdirected:
 		f.balancer.RecordStaleEntry(now, call.incarnation)
 		f.proxy.reportEngine(ctx, f.service, call.incarnation)
--- a/internal/dataplane/proxy/counters.go
+++ b/internal/dataplane/proxy/counters.go
@@ -59,6 +59,9 @@
 	TimedOut atomic.Int64
 	// KVReleased counts KV caches that were released without use.
 	KVReleased atomic.Int64
+	// DecodersReplaced counts generate calls that were not sent after a prefill, so that another decode engine
+	// was given the KV cache.
+	DecodersReplaced atomic.Int64
 	// InvalidTransitions counts attempted changes of a request's state that Transitions does not allow.
 	// Each of them is a bug in this package.
 	InvalidTransitions atomic.Int64
@@ -95,6 +98,7 @@
 		"placed-by-owner":    p.PlacedByOwner.Load(),
 		"placed-alone":       p.PlacedAlone.Load(),
 		"left-for-others":    p.RejectedToAvoidPauses.Load(),
+		"decoders-replaced":  p.DecodersReplaced.Load(),
 		"engine-reports":     p.EngineReports.Load(),
 		"owned-engines":      p.placements.ownedEngineCount(),
 		"migrated":           p.Migrated.Load(),
--- a/internal/dataplane/proxy/forward.go
+++ b/internal/dataplane/proxy/forward.go
@@ -181,7 +181,7 @@
 		f.tryTransition(lifecycle.StateFinished)
 		f.proxy.Completed.Add(1)
 		return true, true
-	case outcomeReselect:
+	case outcomeReselect, outcomeOtherDecoder:
 	case outcomeRetryElsewhere:
 		if !f.acquireRetry() {
 			return f.reject(errcode.NoEngine, retryAfterShort), true
--- a/internal/dataplane/proxy/generate.go
+++ b/internal/dataplane/proxy/generate.go
@@ -46,13 +46,14 @@
 	f.balancer.AddPromptTokens(decoder.Incarnation, f.urgency(), -prefillTokens)
 	if outcome != platformport.OutcomeAnswered {
 		f.timing.add(phaseFailedCalls, now-startedAt)
-		if selection.Split && outcome != platformport.OutcomeUnknown {
+		keepsKV := selection.Split && !wasSent(outcome) && ctx.Err() == nil
+		if selection.Split && !keepsKV && outcome != platformport.OutcomeUnknown {
 			f.releaseKV(ctx, selection.Prefiller.Address, attempt.KVSource)
 		}
 		f.excluded[decoder.Incarnation] = true
 		timedOut := attemptCtx.Err() != nil
 		f.recordFailedCall(ctx, now, failedCall{decoder.Incarnation, outcome, response.Busy, timedOut})
-		return f.handleFailedRun(ctx, outcome)
+		return f.handleFailedRun(ctx, outcome, keepsKV)
 	}
 	f.timing.add(phaseFirstToken, now-startedAt)
 	f.balancer.RecordResponse(now, decoder.Incarnation, response.Load)
@@ -82,9 +83,12 @@
 	return prefillTokens
 }
 
-// handleFailedRun updates the request after a generate call without a response. It returns the outcome
-// of the attempt.
-func (f *forwardedRequest) handleFailedRun(ctx context.Context, outcome platformport.Outcome) attemptOutcome {
+// handleFailedRun updates the request after a generate call without a response. keepsKV reports whether
+// another decode engine may fetch the KV cache of the prompt. handleFailedRun returns the outcome of the
+// attempt.
+func (f *forwardedRequest) handleFailedRun(
+	ctx context.Context, outcome platformport.Outcome, keepsKV bool,
+) attemptOutcome {
 	if outcome == platformport.OutcomeUnknown {
 		f.tryTransition(lifecycle.StateUnknown)
 		if ctx.Err() != nil {
@@ -93,15 +97,20 @@
 		return f.unknownRunOutcome()
 	}
 	f.RecordNotStarted()
-	f.resetForRetry(f.headWritten)
 	f.proxy.NotStarted.Add(1)
+	if !wasSent(outcome) {
+		// The call does not count as an attempt.
+		f.attempts--
+		f.retryAccount.undoRun()
+	}
+	if keepsKV {
+		return outcomeOtherDecoder
+	}
+	f.resetForRetry(f.headWritten)
 	if ctx.Err() != nil {
 		return outcomeEnded
 	}
-	if outcome == platformport.OutcomeNotSent {
-		// The engine was unreachable. The call does not count as an attempt.
-		f.attempts--
-		f.retryAccount.undoRun()
+	if !wasSent(outcome) {
 		return outcomeReselect
 	}
 	return outcomeRetryElsewhere
--- a/internal/dataplane/proxy/placement.go
+++ b/internal/dataplane/proxy/placement.go
@@ -251,8 +251,7 @@
 func (f *forwardedRequest) requestPlacement(
 	ctx context.Context, requirements balancer.Requirements,
 ) (balancer.Selection, placementResult) {
-	regionRestricted := len(requirements.ClosedRegions) > 0 || len(requirements.AllowedRegions) > 0
-	if len(requirements.Prompt) == 0 || regionRestricted {
+	if len(requirements.Prompt) == 0 || requirements.RegionRestricted() {
 		return balancer.Selection{}, placementUnsuited
 	}
 	owner, ok := f.proxy.placements.ownerFor(f.service, f.proxy.Zone, &f.request)
@@ -279,6 +278,25 @@
 	return selection, placementPlaced
 }
 
+// placeDecoder asks the placement owner for a decode engine that can fetch the KV cache of a prompt from its
+// prefill engine. Many routers may replace their decode engines at the same moment, when engines leave
+// service; only the owner knows of all of them. It reports false if this router has to select the engine.
+func (f *forwardedRequest) placeDecoder(
+	ctx context.Context, requirements balancer.Requirements, prefiller platformport.Engine,
+) (platformport.Engine, bool) {
+	owner, ok := f.proxy.placements.ownerFor(f.service, f.proxy.Zone, &f.request)
+	if !ok || requirements.RegionRestricted() {
+		return platformport.Engine{}, false
+	}
+	// The prompt is prefilled already, and costs the decode engine nothing. A query has at least one chunk.
+	requirements.Prompt, requirements.NoSplit = []platformport.PromptChunk{{}}, true
+	answer, result := f.proxy.queryOwner(ctx, owner, f.placementQuery(requirements))
+	if result != placementPlaced {
+		return platformport.Engine{}, false
+	}
+	return f.balancer.ResolveDecoder(f.now(), requirements, prefiller, answer.Decoder)
+}
+
 // unsharedTokens returns the number of tokens of a prompt's last chunk, which is never shared with other
 // requests.
 func unsharedTokens(prompt []platformport.PromptChunk) int {
--- a/internal/dataplane/proxy/prefill.go
+++ b/internal/dataplane/proxy/prefill.go
@@ -20,7 +20,7 @@
 	selection balancer.Selection,
 ) (platformport.KVHandle, attemptOutcome, bool) {
 	f.tryTransition(lifecycle.StatePrefilling)
-	if !f.balancer.Admit(f.now(), selection.Prefiller.Incarnation) {
+	if !f.balancer.Admit(f.now(), selection.Prefiller.Incarnation, balancer.PhasePrefill) {
 		return platformport.KVHandle{}, outcomeReselect, false
 	}
 	kvHandle, outcome := f.prefill(ctx, selection)
@@ -32,7 +32,7 @@
 	}
 	firstUnknown := outcome == platformport.OutcomeUnknown && f.prefillAttempts == 1
 	f.allowSecondPrefill = firstUnknown && f.route.MaxAttempts > 1
-	if outcome == platformport.OutcomeNotSent || firstUnknown {
+	if !wasSent(outcome) || firstUnknown {
 		return kvHandle, outcomeReselect, false
 	}
 	return kvHandle, outcomeRetryElsewhere, false
@@ -54,8 +54,10 @@
 	estimate := f.balancer.EstimateTimeout(startedAt, prefiller.Incarnation, balancer.PhasePrefill).
 		AtLeast(selection.PrefillWait + selection.PrefillTime)
 	attemptCtx, watchdog := f.startWatchdog(ctx, prefiller.Incarnation, mayCancel, estimate.Limit)
+	attempt := f.newAttempt(prefiller)
+	attempt.Withdrawn = func() bool { return !f.maySendTo(prefiller, balancer.PhasePrefill) }
 	// The outcome classifies the error, so that the error itself is not needed.
-	kvHandle, outcome, _ := f.proxy.engineClient.Prefill(attemptCtx, f.newAttempt(prefiller))
+	kvHandle, outcome, _ := f.proxy.engineClient.Prefill(attemptCtx, attempt)
 	timedOut := attemptCtx.Err() != nil
 	watchdog.stop()
 	f.balancer.Release(prefiller.Incarnation)
@@ -71,7 +73,7 @@
 	if outcome != platformport.OutcomeAnswered {
 		f.timing.add(phaseFailedCalls, now-startedAt)
 	}
-	if outcome == platformport.OutcomeNotSent {
+	if !wasSent(outcome) {
 		f.prefillAttempts--
 		f.retryAccount.undoPrefill()
 	}
@@ -92,6 +94,11 @@
 	return kvHandle, outcome
 }
 
+// wasSent reports whether any part of a call may have been sent.
+func wasSent(outcome platformport.Outcome) bool {
+	return outcome != platformport.OutcomeNotSent && outcome != platformport.OutcomeWithdrawn
+}
+
 // recordPrefillTime records the duration of an answered prefill call. The placement owner gets it as
 // a sample if the owner selected the engine and no queue was expected there.
 func (f *forwardedRequest) recordPrefillTime(selection balancer.Selection, elapsed clock.Microseconds) {
@@ -114,7 +121,7 @@
 // prefill call counts only if the engine rejected it. A call that was not sent never counts.
 func (f *forwardedRequest) prefillIsAttempt(outcome platformport.Outcome) bool {
 	switch outcome {
-	case platformport.OutcomeNotSent:
+	case platformport.OutcomeNotSent, platformport.OutcomeWithdrawn:
 		return false
 	case platformport.OutcomeNotStarted, platformport.OutcomeMisdirected:
 		return true
--- a/internal/dataplane/proxy/request_state.go
+++ b/internal/dataplane/proxy/request_state.go
@@ -26,6 +26,8 @@
 	lifecycle.StateTransferred: {lifecycle.StateDecoding, lifecycle.StateQueued, StateResuming},
 	lifecycle.StateDecoding: {
 		lifecycle.StateStreaming,
+		// The decode call was not sent, and another decode engine fetches the KV cache.
+		lifecycle.StateTransferred,
 		lifecycle.StateQueued,
 		lifecycle.StateUnknown,
 		StateResuming,
--- a/internal/faulttest/simulation/test_fleet_test.go
+++ b/internal/faulttest/simulation/test_fleet_test.go
@@ -190,9 +190,9 @@
 
 // addServer adds a server. One with the name of an earlier one replaces it from its next start on.
 func (t *testFleet) addServer(name, zone, internalAddress, publicAddress, replaces string) {
-	daemonSettings := t.serverSettings(name, zone, internalAddress, publicAddress)
-	daemonSettings.ReplaceMember = replaces
-	t.addControlServer(daemonSettings)
+	server := t.serverSettings(name, zone, internalAddress, publicAddress)
+	server.ReplaceMember = replaces
+	t.addControlServer(server)
 }
 
 // serverSettings returns the settings of a server that may found the group.
--- a/internal/platformport/engine_client.go
+++ b/internal/platformport/engine_client.go
@@ -9,8 +9,8 @@
 // Outcome describes what is known about the execution of an attempt.
 type Outcome int
 
-// Outcomes of an attempt. OutcomeNotStarted, OutcomeNotSent and OutcomeMisdirected prove that the
-// engine has not run the request and will not run it.
+// Outcomes of an attempt. OutcomeNotStarted, OutcomeNotSent, OutcomeMisdirected and OutcomeWithdrawn
+// prove that the engine has not run the request and will not run it.
 const (
 	// OutcomeUnknown means that the engine may have run the request.
 	OutcomeUnknown Outcome = iota
@@ -23,6 +23,9 @@
 	// OutcomeMisdirected means that the request reached a different incarnation, shard or model
 	// version than the intended one, and was not run.
 	OutcomeMisdirected
+	// OutcomeWithdrawn means that the attempt's Withdrawn returned true, so that no part of the request
+	// was sent.
+	OutcomeWithdrawn
 )
 
 // Load is the load that an engine reports in its responses.
@@ -50,6 +53,9 @@
 	// Tenant is the name of the tenant that the request belongs to, empty if it has none. The
 	// engine receives this name regardless of any tenant name that the caller sent.
 	Tenant string
+	// Withdrawn, if set, reports whether the engine must not get the attempt any more. It is called
+	// directly before the request is sent, once a connection is open.
+	Withdrawn func() bool
 }
 
 // Response is an engine's response. Status, Header and Body are opaque. The receiver must close
--- a/internal/state/registry/pick.go
+++ b/internal/state/registry/pick.go
@@ -153,13 +153,7 @@
 
 // isEligible reports whether an engine meets the requirements, whether or not it has capacity.
 func (t *Table) isEligible(now clock.Microseconds, entry *tableEntry, requirements Requirements) bool {
-	if entry.role == "" || entry.role != pairing.RoleBoth && entry.role != requirements.Role {
-		return false
-	}
-	if entry.Draining || entry.report.Draining || entry.ejectedUntil > now {
-		return false
-	}
-	if requirements.ExcludedEngines[entry.Name] || slices.Contains(t.evacuatedZones, entry.Zone) {
+	if !t.inService(entry, requirements.Role) || entry.ejectedUntil > now || requirements.ExcludedEngines[entry.Name] {
 		return false
 	}
 	if !slices.Contains(requirements.Versions, entry.report.Version) {
@@ -171,6 +165,23 @@
 	return requirements.PrefillEngine == "" || t.arePaired(requirements.PrefillEngine, entry.Name)
 }
 
+// inService reports whether an engine gets new work in a role: the role permits it, the engine is not draining, and
+// its zone is not evacuated.
+func (t *Table) inService(entry *tableEntry, role string) bool {
+	if entry.role == "" || entry.role != pairing.RoleBoth && entry.role != role {
+		return false
+	}
+	return !entry.Draining && !entry.report.Draining && !slices.Contains(t.evacuatedZones, entry.Zone)
+}
+
+// InService reports whether the incarnation of an engine that was selected before still gets new work in a role.
+func (t *Table) InService(selected Engine, role string) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	entry, listed := t.entries[selected.Name]
+	return listed && entry.Incarnation == selected.Incarnation && t.inService(entry, role)
+}
+
 // arePaired reports whether a prefill engine may transfer its requests to a decode engine.
 func (t *Table) arePaired(prefillEngine, decodeEngine string) bool {
 	return slices.ContainsFunc(t.assignment.Pairs, func(pair pairing.Pair) bool {
--- a/internal/state/registry/table_test.go
+++ b/internal/state/registry/table_test.go
@@ -198,3 +198,34 @@
 		So(table.EstimateWait(now+3*clock.Second), ShouldEqual, 0)
 	})
 }
+
+// An engine that was selected may leave service before its call is sent. The table must show that, whichever way the
+// engine leaves.
+func TestTable_InServiceUntilEngineLeaves(t *testing.T) {
+	selected := registry.Engine{Name: "e0", Incarnation: "1"}
+	viewWith := func(engine registry.Engine, role string) registry.View {
+		view := registry.NewState().View
+		view.Engines[engine.Name] = engine
+		view.Assignments["s"] = pairing.Assignment{Service: "s", Roles: map[string]string{engine.Name: role}}
+		return view
+	}
+	listed := registry.Engine{Name: "e0", Service: "s", Zone: "h0", Incarnation: "1"}
+	draining, restarted := listed, listed
+	draining.Draining = true
+	restarted.Incarnation = "2"
+	for name, leave := range map[string]func(*registry.Table){
+		"draining":    func(table *registry.Table) { table.Update(viewWith(draining, pairing.RoleBoth)) },
+		"restarted":   func(table *registry.Table) { table.Update(viewWith(restarted, pairing.RoleBoth)) },
+		"gone":        func(table *registry.Table) { table.Update(viewWith(registry.Engine{Name: "e9"}, pairing.RoleBoth)) },
+		"other role":  func(table *registry.Table) { table.Update(viewWith(listed, pairing.RolePrefill)) },
+		"no role":     func(table *registry.Table) { table.Update(viewWith(listed, "")) },
+		"zone closed": func(table *registry.Table) { table.SetEvacuatedZones([]string{"h0"}) },
+	} {
+		Convey(name, t, func() {
+			table := newTable(clock.Second, clock.Second)
+			So(table.InService(selected, pairing.RoleDecode), ShouldBeTrue)
+			leave(table)
+			So(table.InService(selected, pairing.RoleDecode), ShouldBeFalse)
+		})
+	}
+}
