Shutdown: wait for cancelled requests before the router stops beneath them

Cause: at the end of the grace period the frontend closes the connections of running requests, which cancels them, and returned without waiting for their end. The router then waited for its background calls and stopped. On the product's own interface a request that had passed the check for draining just before the drain began was not waited for either.

Change: internal/callgroup tracks calls; one that begins beside the end is waited for or rejected as not run, which a sync.WaitGroup does not permit.

--- a/internal/dataplane/httpapi/answer_admission.go
+++ b/internal/dataplane/httpapi/answer_admission.go
@@ -19,19 +19,24 @@
 	maxKeyLength = 128
 )
 
+// readRequest reads a request's body and checks that it names a key.
+func readRequest(request *forwardedRequest, httpRequest *http.Request) error {
+	err := transport.ReadJSON(request.responseWriter, httpRequest, maxBodyBytes, &request.AnswerRequest)
+	if err != nil {
+		return err
+	}
+	if request.Key == "" || len(request.Key) > maxKeyLength {
+		return errcode.New(errcode.KeyMissing, "the key has %d bytes, not 1 to %d", len(request.Key), maxKeyLength)
+	}
+	return nil
+}
+
 // admit checks a request against the active configuration, reserves its key and returns the counter of
 // the service's requests in flight. Nothing is sent to an engine before admit returns, so a request
 // that admit rejects is proven not to have run.
 func (h *Handler) admit(
 	now clock.Microseconds, request *forwardedRequest, httpRequest *http.Request,
 ) (*atomic.Int64, error) {
-	err := transport.ReadJSON(request.responseWriter, httpRequest, maxBodyBytes, &request.AnswerRequest)
-	if err != nil {
-		return nil, err
-	}
-	if request.Key == "" || len(request.Key) > maxKeyLength {
-		return nil, errcode.New(errcode.KeyMissing, "the key has %d bytes, not 1 to %d", len(request.Key), maxKeyLength)
-	}
 	if err := h.control.CheckAcceptsWork(); err != nil {
 		h.StaleRejections.Add(1)
 		return nil, err
--- a/internal/dataplane/httpapi/answer_handler.go
+++ b/internal/dataplane/httpapi/answer_handler.go
@@ -88,17 +88,23 @@
 		responseWriter:  writer,
 		excludedEngines: map[string]bool{},
 	}
+	if err := readRequest(request, httpRequest); err != nil {
+		h.reject(request, err)
+		return
+	}
+	if !h.inFlight.Begin() {
+		h.StaleRejections.Add(1)
+		h.reject(request, errcode.New(errcode.RouterDraining, "router %q is draining", h.node.Name))
+		return
+	}
+	defer h.inFlight.End()
 	queueDepth, err := h.admit(now, request, httpRequest)
 	if err != nil {
 		h.reject(request, err)
 		return
 	}
-	h.inFlight.Add(1)
 	queueDepth.Add(1)
-	defer func() {
-		queueDepth.Add(-1)
-		h.inFlight.Done()
-	}()
+	defer queueDepth.Add(-1)
 	h.Admitted.Add(1)
 	ctx, cancel := context.WithTimeout(httpRequest.Context(), (request.deadline - now).Duration())
 	defer cancel()
--- a/internal/dataplane/httpapi/handler.go
+++ b/internal/dataplane/httpapi/handler.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 
+	"coursepass/internal/callgroup"
 	"coursepass/internal/clock"
 	"coursepass/internal/consensus"
 	"coursepass/internal/dataplane/lifecycle"
@@ -86,8 +87,8 @@
 	retryBudgets map[string]*lifecycle.RetryBudget
 	// queueDepths has the number of requests in flight of each service, by service.
 	queueDepths map[string]*atomic.Int64
-	// inFlight counts the admitted requests that have not ended.
-	inFlight sync.WaitGroup
+	// inFlight tracks the requests that were read and have not ended. Drain closes it.
+	inFlight callgroup.Group
 }
 
 // New returns a handler, and registers the handler of key outcome queries at the internal endpoint.
@@ -127,18 +128,9 @@
 // Start sets the context of the goroutines that send reservations.
 func (h *Handler) Start(ctx context.Context) { h.senders.start(ctx) }
 
-// Drain waits until no request is in flight or the context ends.
-func (h *Handler) Drain(ctx context.Context) {
-	drained := make(chan struct{})
-	go func() {
-		h.inFlight.Wait()
-		close(drained)
-	}()
-	select {
-	case <-drained:
-	case <-ctx.Done():
-	}
-}
+// Drain rejects new requests and waits until no request is in flight. It returns the error of the context if the
+// context ends first.
+func (h *Handler) Drain(ctx context.Context) error { return h.inFlight.Close(ctx) }
 
 // quorum returns the smallest number of a shard's members that is a majority.
 func (h *Handler) quorum() int { return h.replicas/2 + 1 }
--- a/internal/dataplane/httpapi/handler_test.go
+++ b/internal/dataplane/httpapi/handler_test.go
@@ -133,6 +133,22 @@
 	}
 }
 
+// Guards against a request that passed the router's own check before the router began to drain, and runs after
+// the handler has waited for the last request.
+func TestHandler_RejectsAfterDrain(t *testing.T) {
+	handler, mux := newHandler(&controlState{view: testView(1)})
+	if err := handler.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	rejection, _ := post(t, mux, validBody)
+	if rejection.Code != errcode.RouterDraining || rejection.Execution != "not run" {
+		t.Errorf("rejected with code %d (%s), want %d (not run)", rejection.Code, rejection.Execution, errcode.RouterDraining)
+	}
+	if admitted := handler.Admitted.Load(); admitted != 0 {
+		t.Errorf("%d requests were admitted after the handler had drained, want none", admitted)
+	}
+}
+
 func TestHandler_RejectsWithoutConfiguration(t *testing.T) {
 	_, mux := newHandler(&controlState{})
 	if rejection, _ := post(t, mux, validBody); rejection.Code != errcode.UnknownTenant {
--- a/internal/dataplane/proxy/engine_report.go
+++ b/internal/dataplane/proxy/engine_report.go
@@ -55,18 +55,22 @@
 }
 
 // runInBackground runs a call that may outlive its request. The context of the call ends after the
-// timeout. WaitForBackground waits for the call.
+// timeout. CloseBackground waits for the call; once it has begun, runInBackground does nothing.
 func (p *Proxy) runInBackground(
 	parent context.Context, timeout clock.Microseconds, call func(context.Context),
 ) {
+	if !p.background.Begin() {
+		return
+	}
 	detached := context.WithoutCancel(parent)
-	p.background.Go(func() {
+	go func() {
+		defer p.background.End()
 		ctx, cancel := context.WithTimeout(detached, timeout.Duration())
 		defer cancel()
 		call(ctx)
-	})
+	}()
 }
 
-// WaitForBackground waits for all calls that runInBackground has started. It must not be called before
-// the last request has ended.
-func (p *Proxy) WaitForBackground() { p.background.Wait() }
+// CloseBackground waits for all calls that runInBackground has started, until the context ends. The calls of
+// requests that are still in progress are not started any more.
+func (p *Proxy) CloseBackground(ctx context.Context) error { return p.background.Close(ctx) }
--- a/internal/dataplane/proxy/placement_test.go
+++ b/internal/dataplane/proxy/placement_test.go
@@ -300,6 +300,14 @@
 	return routes
 }
 
+// closeBackground waits for the proxy's background calls.
+func closeBackground(t *testing.T, tested *proxy.Proxy) {
+	t.Helper()
+	if err := tested.CloseBackground(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against an owner that is not told of an unresponsive engine, or is flooded with reports about it
 // when many calls to the engine are pending.
 func TestPlacement_OwnerIsToldOfSilentEngines(t *testing.T) {
@@ -310,7 +318,7 @@
 			group.Go(func() { forward(fixture.Proxy, newLongPromptRequest()) })
 		}
 		group.Wait()
-		fixture.WaitForBackground()
+		closeBackground(t, fixture.Proxy)
 		close(fixture.owner.reports)
 		count := 0
 		for report := range fixture.owner.reports {
@@ -325,6 +333,23 @@
 	})
 }
 
+// Guards against a call that a request starts in the background after the proxy has waited for the last one,
+// because the request outlived the shutdown of the frontend.
+func TestPlacement_NoBackgroundCallAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newUnresponsiveFixture(t)
+		var group sync.WaitGroup
+		group.Go(func() { forward(fixture.Proxy, newLongPromptRequest()) })
+		synctest.Wait() // The prefill call is pending.
+		closeBackground(t, fixture.Proxy)
+		group.Wait()
+		synctest.Wait()
+		if reports := len(fixture.owner.reports); reports != 0 {
+			t.Errorf("%d reports of an engine after the proxy was closed, want none", reports)
+		}
+	})
+}
+
 // Guards against a request that pauses other responses after its prefill failed. If its decode engine
 // would pause several responses to prefill the prompt, the request is rejected with a retry delay. If it
 // would pause at most one, the request is served.
@@ -341,7 +366,7 @@
 			request := newLongPromptRequest()
 			request.Timeout = 4 * clock.Second
 			recorder, _ := forward(fixture.Proxy, request)
-			fixture.WaitForBackground()
+			closeBackground(t, fixture.Proxy)
 			if left := fixture.RejectedToAvoidPauses.Load(); left != int64(testCase.left) {
 				t.Errorf("%d responses would be paused: %d requests were rejected, want %d",
 					testCase.pausedRuns, left, testCase.left)
--- a/internal/dataplane/proxy/proxy.go
+++ b/internal/dataplane/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 
+	"coursepass/internal/callgroup"
 	"coursepass/internal/clock"
 	"coursepass/internal/dataplane/balancer"
 	"coursepass/internal/dataplane/lifecycle"
@@ -37,7 +38,7 @@
 	// migratingEngines holds the incarnations of engines away from which a stream is being migrated.
 	migratingEngines map[string]bool
 	// background tracks the calls that may outlive their requests.
-	background sync.WaitGroup
+	background callgroup.Group
 	// OnSuspect, if set, is called when an engine did not answer. It must be set before the first
 	// request, and may be called concurrently.
 	OnSuspect func(service, incarnation string)
--- a/internal/dataplane/router/router.go
+++ b/internal/dataplane/router/router.go
@@ -216,5 +216,7 @@
 	drainTimeout := clock.Microseconds(r.DrainTimeoutMillis) * clock.Millisecond
 	ctx, cancel := context.WithTimeout(parent, drainTimeout.Duration())
 	defer cancel()
-	r.httpHandler.Drain(ctx)
+	if err := r.httpHandler.Drain(ctx); err != nil {
+		log.Warn().Str("router", r.Name).Msg("requests are still running at the end of the drain timeout")
+	}
 }
--- a/internal/layering/layering.go
+++ b/internal/layering/layering.go
@@ -18,6 +18,7 @@
 func Layers() []Layer { //nolint:funlen // One table.
 	return []Layer{
 		{Name: "base", Packages: []string{
+			"internal/callgroup",
 			"internal/errcode",
 			"internal/clock",
 			"internal/timesync",
