--- a/internal/dataplane/balancer/prompt_cache.go
+++ b/internal/dataplane/balancer/prompt_cache.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	count := 1
-	if totalTokens(prompt)-unsharedTokens(prompt) < smallPrefixTokens {
+	if platformport.TotalTokens(prompt)-platformport.UnsharedTokens(prompt) < smallPrefixTokens {
 		count = max(len(engines)/smallPrefixDivisor, 1)
 	}
 	sharedPrefix := prompt[len(prompt)-minSharedChunks].Name
@@ -96,20 +96,3 @@
 	}
 	return preferred
 }
-
-// totalTokens returns the number of tokens of a prompt.
-func totalTokens(prompt []platformport.PromptChunk) int {
-	tokens := 0
-	for _, chunk := range prompt {
-		tokens += chunk.Tokens
-	}
-	return tokens
-}
-
-// unsharedTokens returns the number of tokens that a prompt shares with no other request.
-func unsharedTokens(prompt []platformport.PromptChunk) int {
-	if count := len(prompt); count > 0 {
-		return prompt[count-1].Tokens
-	}
-	return 0
-}
--- a/internal/dataplane/balancer/selection.go
+++ b/internal/dataplane/balancer/selection.go
@@ -100,8 +100,8 @@
 	if requirements.NoSplit {
 		return best, true
 	}
-	promptTokens := totalTokens(requirements.Prompt)
-	unshared := unsharedTokens(requirements.Prompt)
+	promptTokens := platformport.TotalTokens(requirements.Prompt)
+	unshared := platformport.UnsharedTokens(requirements.Prompt)
 	preferred := preferredEngines(requirements.Prompt, prefillers)
 	firstPrefill := b.PlacesForAll && !anyHasPrefix(now, prefillers, requirements.Prompt)
 	for _, prefiller := range prefillers {
@@ -226,7 +226,7 @@
 	}
 	_, decoders := b.eligible(now, requirements)
 	_, cheapest := b.candidates(now, requirements, decoders)
-	best, found := b.cheapestDecoder(state, cheapest, totalTokens(requirements.Prompt))
+	best, found := b.cheapestDecoder(state, cheapest, platformport.TotalTokens(requirements.Prompt))
 	if !found {
 		return platformport.Engine{}, false
 	}
--- a/internal/dataplane/balancer/shared_placement.go
+++ b/internal/dataplane/balancer/shared_placement.go
@@ -65,7 +65,7 @@
 	decoder := b.engine(selection.Decoder.Incarnation)
 	if selection.Split {
 		prefiller := b.engine(selection.Prefiller.Incarnation)
-		cached := totalTokens(requirements.Prompt) - selection.UncachedTokens
+		cached := platformport.TotalTokens(requirements.Prompt) - selection.UncachedTokens
 		prefiller.backlog.add(requirements.Urgency, b.prefillModel.EquivalentTokens(selection.UncachedTokens, cached))
 		prefiller.recordCached(now, requirements.Prompt)
 		prefiller.delayNextProbe(now)
--- a/internal/platformport/request.go
+++ b/internal/platformport/request.go
@@ -14,6 +14,23 @@
 	Tokens int
 }
 
+// TotalTokens returns the number of tokens of a prompt.
+func TotalTokens(prompt []PromptChunk) int {
+	tokens := 0
+	for _, chunk := range prompt {
+		tokens += chunk.Tokens
+	}
+	return tokens
+}
+
+// UnsharedTokens returns the number of tokens of a prompt's last chunk, which no other request shares.
+func UnsharedTokens(prompt []PromptChunk) int {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return prompt[len(prompt)-1].Tokens
+}
+
 // Request is a caller's request. Method, Target, Header and Body are opaque and are forwarded
 // unchanged.
 type Request struct {
