Decode cost: count the memory that prompts take, also of KV caches that move

Cause: the cost of a decode engine knew the number of its responses, not the memory that they take, so that a transfer between zones outweighed the wait for memory. A query for another decode engine, sent when the selected one has left service, carried an empty prompt, so that even an owner that counts memory could not see what the run takes.

Change: a balancer counts the unshared prompt tokens of the responses that it knows of, and adds to an engine's cost in proportion to the tokens that have to be freed first. Shared chunks are left out, since what an engine keeps of them is not known: an engine never seems to have less memory than it has.

--- a/internal/compat/additions.go
+++ b/internal/compat/additions.go
@@ -5,6 +5,7 @@
 
 	"coursepass/internal/controlplane"
 	"coursepass/internal/controlplane/messaging"
+	"coursepass/internal/dataplane/placement"
 	"coursepass/internal/gossip/peers"
 	"coursepass/internal/state/config"
 	"coursepass/internal/state/pairing"
@@ -66,6 +67,9 @@
 		reflect.TypeFor[messaging.MessageBatchResponse]():     {"Features"},
 		reflect.TypeFor[messaging.MessageBatchResponseWire](): {"Features"},
 	}},
+	{name: "fetched-tokens", fields: map[reflect.Type][]string{
+		reflect.TypeFor[placement.Query](): {"FetchedTokens"},
+	}},
 	{name: "observed-index", fields: map[reflect.Type][]string{
 		reflect.TypeFor[controlplane.ControlRequest]():     {"ObservedIndex"},
 		reflect.TypeFor[controlplane.ControlRequestWire](): {"ObservedIndex"},
--- a/internal/dataplane/balancer/cost.go
+++ b/internal/dataplane/balancer/cost.go
@@ -72,7 +72,7 @@
 
 // occupancy estimates the number of requests of all routers on an engine.
 func (b *Balancer) occupancy(now clock.Microseconds, engine *engineState) float64 {
-	return float64(engine.running+len(engine.expectedEnds)) + engine.otherRoutersLoad(now)
+	return float64(engine.running+len(engine.expectedRuns)) + engine.otherRoutersLoad(now)
 }
 
 // full reports whether an engine is assumed to have no free slot.
@@ -111,7 +111,7 @@
 	if b.exceedsPauseLimit(decoder, 0, requirements.EventTimeout) {
 		cost += pausedRunCost
 	}
-	return cost
+	return cost + b.memoryCost(decoder, requirements)
 }
 
 // exceedsPauseLimit reports whether a decoder pauses its running responses for longer than eventTimeout allows if
--- a/internal/dataplane/balancer/eligibility.go
+++ b/internal/dataplane/balancer/eligibility.go
@@ -38,6 +38,9 @@
 	ExcludedEngines map[string]bool
 	// ClosedRegions is the set of regions that must not get the request.
 	ClosedRegions map[string]bool
+	// FetchedTokens is the number of unshared tokens in the KV cache of an earlier prefill, which the decoder
+	// fetches. It is 0 if the prompt has yet to be computed.
+	FetchedTokens int
 	// AllowedRegions are the only regions that may get the request. If it is empty, all regions may.
 	AllowedRegions []string
 }
--- a/internal/dataplane/balancer/engine_state.go
+++ b/internal/dataplane/balancer/engine_state.go
@@ -28,8 +28,12 @@
 	backlog promptBacklog
 	// running is the number of responses that the engine generates for this router.
 	running int
-	// expectedEnds holds the expected ends of the requests that a placement owner has placed on the engine.
-	expectedEnds []clock.Microseconds
+	// runningTokens is the number of unshared prompt tokens of these responses.
+	runningTokens int
+	// expectedRuns holds the requests that a placement owner has placed on the engine, until their expected ends,
+	// and expectedTokens the number of their unshared prompt tokens.
+	expectedRuns   []expectedRun
+	expectedTokens int
 	// load is the last load that the engine reported.
 	load           platformport.Load
 	loadReportedAt clock.Microseconds
--- a/internal/dataplane/balancer/load_tracking.go
+++ b/internal/dataplane/balancer/load_tracking.go
@@ -29,8 +29,8 @@
 	b.engine(incarnation).backlog.add(urgency, tokens)
 }
 
-// AddRunning adds delta to the number of responses that an engine generates for this router. If delta is
-// positive, the engine is assumed to cache the prompt.
+// AddRunning adds delta to the number of responses to a prompt that an engine generates for this router. If delta
+// is positive, the engine is assumed to cache the prompt.
 func (b *Balancer) AddRunning(
 	now clock.Microseconds,
 	incarnation string,
@@ -41,6 +41,7 @@
 	defer b.lock.Unlock()
 	engine := b.engine(incarnation)
 	engine.running = max(engine.running+delta, 0)
+	engine.runningTokens = max(engine.runningTokens+delta*platformport.UnsharedTokens(prompt), 0)
 	if delta > 0 {
 		engine.recordCached(now, prompt)
 	}
--- a/internal/dataplane/balancer/shared_placement.go
+++ b/internal/dataplane/balancer/shared_placement.go
@@ -11,7 +11,7 @@
 // load of its engines until the expected end of the request.
 
 const (
-	// maxExpectedRuns is the maximum number of expected ends that are kept for one engine.
+	// maxExpectedRuns is the maximum number of expected responses that are kept for one engine.
 	maxExpectedRuns = 1024
 	// initialDecodeTimePerToken is the estimated duration of a response per token of its maximum length,
 	// in microseconds, before the first observation.
@@ -76,7 +76,10 @@
 	}
 	decoder.recordCached(now, requirements.Prompt)
 	decoder.delayNextProbe(now)
-	decoder.addExpectedRun(startsAt + b.decodeTime.estimate(maxTokens))
+	decoder.addExpectedRun(expectedRun{
+		endsAt: startsAt + b.decodeTime.estimate(maxTokens),
+		tokens: requirements.memoryTokens(),
+	})
 	return selection, true
 }
 
@@ -88,22 +91,32 @@
 	}
 }
 
+// expectedRun is a response that an engine is expected to generate.
+type expectedRun struct {
+	endsAt clock.Microseconds
+	// tokens is the number of tokens for which the response takes memory.
+	tokens int
+}
+
 // addExpectedRun counts one more running response until its expected end.
-func (e *engineState) addExpectedRun(endsAt clock.Microseconds) {
-	if len(e.expectedEnds) < maxExpectedRuns {
-		e.expectedEnds = append(e.expectedEnds, endsAt)
+func (e *engineState) addExpectedRun(run expectedRun) {
+	if len(e.expectedRuns) < maxExpectedRuns {
+		e.expectedRuns = append(e.expectedRuns, run)
+		e.expectedTokens += run.tokens
 	}
 }
 
 // removeEndedRuns removes the responses that are expected to have ended.
 func (e *engineState) removeEndedRuns(now clock.Microseconds) {
-	kept := e.expectedEnds[:0]
-	for _, endsAt := range e.expectedEnds {
-		if now < endsAt {
-			kept = append(kept, endsAt)
+	kept := e.expectedRuns[:0]
+	for _, run := range e.expectedRuns {
+		if now < run.endsAt {
+			kept = append(kept, run)
+			continue
 		}
+		e.expectedTokens -= run.tokens
 	}
-	e.expectedEnds = kept
+	e.expectedRuns = kept
 }
 
 // PrefillSample is the measured duration of a prefill call that was expected to find no queue.
--- a/internal/dataplane/balancer/shared_placement_test.go
+++ b/internal/dataplane/balancer/shared_placement_test.go
@@ -13,11 +13,16 @@
 // maxResponseTokens is the maximum number of response tokens of placed requests.
 const maxResponseTokens = 100
 
-// newOwnerBalancer returns the balancer of a placement owner.
-func newOwnerBalancer(engines []platformport.Engine) *balancer.Balancer {
+// ownerOptions returns the options of the balancer of a placement owner.
+func ownerOptions() balancer.Options {
 	options := testOptions(0)
 	options.PlacesForAll = true
-	owner := balancer.New(options)
+	return options
+}
+
+// newOwnerBalancer returns the balancer of a placement owner.
+func newOwnerBalancer(engines []platformport.Engine) *balancer.Balancer {
+	owner := balancer.New(ownerOptions())
 	owner.Update(clock.Second, balancer.View{Service: testService, Engines: engines, RouterCount: 1})
 	return owner
 }
--- a/internal/dataplane/placement/message.go
+++ b/internal/dataplane/placement/message.go
@@ -60,6 +60,9 @@
 	// EventTimeoutMicros is the maximum pause between two events of the response that the route aims at,
 	// in microseconds, 0 for no target.
 	EventTimeoutMicros int64
+	// FetchedTokens is the number of unshared tokens in the KV cache that the decoder fetches. The prompt is then
+	// prefilled already and is not in Prompt.
+	FetchedTokens int
 	// Excluded are the incarnations that must not get the request.
 	Excluded []string
 	Prefills []PrefillSample
@@ -142,6 +145,8 @@
 			len(q.Prefills), len(q.Decodes), MaxSamples)
 	case q.Urgency < 0 || q.Urgency > maxUrgency:
 		return malformed("query with urgency %d, not 0 to %d", q.Urgency, maxUrgency)
+	case q.FetchedTokens < 0 || q.FetchedTokens > maxPromptTokens:
+		return malformed("query with a KV cache of %d tokens, not 0 to %d", q.FetchedTokens, maxPromptTokens)
 	case q.BodyBytes < 0 || q.MaxTokens < 0 || q.EventTimeoutMicros < 0:
 		return malformed("query with a negative size: body of %d bytes, %d tokens at most, event timeout of %d µs",
 			q.BodyBytes, q.MaxTokens, q.EventTimeoutMicros)
--- a/internal/dataplane/placement/message_test.go
+++ b/internal/dataplane/placement/message_test.go
@@ -34,6 +34,8 @@
 		"a long chunk name":           func(query *placement.Query) { query.Prompt[0].Name = long },
 		"a negative body":             func(query *placement.Query) { query.BodyBytes = -1 },
 		"a negative response":         func(query *placement.Query) { query.MaxTokens = -1 },
+		"a negative KV cache":         func(query *placement.Query) { query.FetchedTokens = -1 },
+		"a large KV cache":            func(query *placement.Query) { query.FetchedTokens = 1<<22 + 1 },
 		"a negative urgency":          func(query *placement.Query) { query.Urgency = -1 },
 		"a large urgency":             func(query *placement.Query) { query.Urgency = 10 },
 		"a long excluded name":        func(query *placement.Query) { query.Excluded = []string{long} },
--- a/internal/dataplane/proxy/generate.go
+++ b/internal/dataplane/proxy/generate.go
@@ -28,9 +28,10 @@
 	f.attempts++
 	f.retryAccount.addRun()
 	startedAt := f.now()
-	f.balancer.AddRunning(startedAt, decoder.Incarnation, f.request.Prompt, 1)
+	prompt := f.request.Prompt
+	f.balancer.AddRunning(startedAt, decoder.Incarnation, prompt, 1)
 	finish := sync.OnceFunc(func() {
-		f.balancer.AddRunning(f.now(), decoder.Incarnation, nil, -1)
+		f.balancer.AddRunning(f.now(), decoder.Incarnation, prompt, -1)
 		f.balancer.Release(decoder.Incarnation)
 	})
 	defer finish()
--- a/internal/dataplane/proxy/leaving_engine_test.go
+++ b/internal/dataplane/proxy/leaving_engine_test.go
@@ -273,6 +273,7 @@
 			replacement := owner.queries[1]
 			So(replacement.NoSplit, ShouldBeTrue)
 			So(replacement.Prompt, ShouldResemble, []placement.Chunk{{}})
+			So(replacement.FetchedTokens, ShouldEqual, platformport.UnsharedTokens(newLongPromptRequest().Prompt))
 			So(replacement.Excluded, ShouldContain, "engine-2")
 			So(replacement.Check(), ShouldBeNil)
 		})
--- a/internal/dataplane/proxy/placement.go
+++ b/internal/dataplane/proxy/placement.go
@@ -112,7 +112,9 @@
 	if !ok || requirements.RegionRestricted() {
 		return platformport.Engine{}, false
 	}
-	// The prompt is prefilled already, and costs the decode engine nothing. A query has at least one chunk.
+	// The prompt is prefilled already: it takes memory of the decode engine, but costs it no time. A query has at
+	// least one chunk.
+	requirements.FetchedTokens = platformport.UnsharedTokens(requirements.Prompt)
 	requirements.Prompt, requirements.NoSplit = []platformport.PromptChunk{{}}, true
 	answer, result := f.proxy.queryOwner(ctx, owner, f.placementQuery(requirements))
 	if result != placementPlaced {
@@ -136,6 +138,7 @@
 
 		SingleAttempt: requirements.SingleAttempt,
 		NonRetryable:  requirements.NonRetryable,
+		FetchedTokens: requirements.FetchedTokens,
 
 		EventTimeoutMicros: int64(requirements.EventTimeout),
 	}
--- a/internal/dataplane/proxy/placement_owner.go
+++ b/internal/dataplane/proxy/placement_owner.go
@@ -48,6 +48,7 @@
 		NoSplit:         query.NoSplit,
 		EventTimeout:    clock.Microseconds(query.EventTimeoutMicros),
 		NonRetryable:    query.NonRetryable,
+		FetchedTokens:   query.FetchedTokens,
 		Key:             query.Key,
 		ExcludedEngines: map[string]bool{},
 	}
