--- a/review/stand-2/late.go
+++ b/review/stand-2/late.go
@@ -58,7 +58,7 @@
 // playLate has an order of the operator held up by a cut, while the operator gives it up and has a contrary order
 // acknowledged.
 func playLate(c *caseRun) (bool, error) {
-	w, err := newWorld(c.record, c.root, []string{"north", "south", "west"}, 1)
+	w, err := newWorld(c.record, c.root, []string{"north", "south", "west"}, 2)
 	if err != nil {
 		return false, err
 	}
