Replicas: messages to an earlier disk are inert; answers go to the daemon that asked

Cause: messages between replicas named an address and not the disk for which they were meant. A leader's entries for the second disk started a learner on the third one, whose membership ended where the first message of 32 KiB ended. That membership named a daemon that was gone for the leader's slot: the learner's answers reached nobody, and newer memberships were ignored. Answers to a recovery, memberships of the founding time, a leader's record of a follower and the count of members that can stand in for another had the same cause.

Change: Message.Receiver and the answer to each batch carry the identity of the data folder; replicas drop what is meant for another one, and answer the daemon that asked, at its address. Replicas without a vote adopt newer memberships, a recovery counts only members of the newest epoch shown, learners without progress start over, and status, counters and log show copies that are not complete.

TestInvariants_DetectKnownFault: its planted fault, a daemon that accepts an older membership, is now caught by the recovery, which sees the epoch in answers. The model therefore hides the epoch as part of the fault; the paths and what must be detected are unchanged.

--- a/internal/adminclient/status.go
+++ b/internal/adminclient/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"coursepass/internal/clock"
 	"coursepass/internal/controlplane/controlapi"
@@ -112,10 +113,25 @@
 			shard.Shard, shard.Slot, shard.Epoch, shard.Leader, shard.Term, shard.Owner, shard.UpToDate, shard.CatchingUp)
 		fmt.Printf("  commit %d  revision %d  lease left %d ms\n",
 			shard.CommitIndex, shard.Revision, shard.LeaseRemaining/clock.Millisecond)
+		fmt.Print(copyLines(shard))
 	}
 	fmt.Print(usageLine(overview.Resources))
 }
 
+// copyLines says what the leader of a shard knows of the copies of its log, and for how long a server without a vote has
+// received nothing of the log. It is empty for the others.
+func copyLines(shard controlapi.ShardStatus) string {
+	var lines strings.Builder
+	if shard.CatchingUp {
+		fmt.Fprintf(&lines, "    nothing received for %d ms\n", shard.SinceProgress/clock.Millisecond)
+	}
+	for _, replica := range shard.Copies {
+		fmt.Fprintf(&lines, "    copy in slot %d  %s  %s  for %d s  missing entries %d  server %s\n",
+			replica.Slot, replica.State, replica.Address, replica.Since/clock.Second, replica.MissingEntries, replica.Server)
+	}
+	return lines.String()
+}
+
 // usageLine says what a daemon has used since its start; it is empty if the daemon does not count that.
 func usageLine(used *resources.Snapshot) string {
 	if used == nil {
--- a/internal/adminclient/status_test.go
+++ b/internal/adminclient/status_test.go
@@ -65,3 +65,19 @@
 		t.Errorf("%q for a daemon of an earlier release", line)
 	}
 }
+
+func TestCopyLines(t *testing.T) {
+	shard := controlapi.ShardStatus{Copies: []controlapi.CopyStatus{
+		{Slot: 0, Server: "core-0", Address: "10.0.0.1:1", State: "complete", Since: 90 * clock.Second},
+		{Slot: 1, Server: "core-1", Address: "10.0.0.2:1", State: "catching-up", Since: 7 * clock.Second, MissingEntries: 12},
+	}}
+	want := "    copy in slot 0  complete  10.0.0.1:1  for 90 s  missing entries 0  server core-0\n" +
+		"    copy in slot 1  catching-up  10.0.0.2:1  for 7 s  missing entries 12  server core-1\n"
+	if text := copyLines(shard); text != want {
+		t.Errorf("got %q, want %q", text, want)
+	}
+	learner := controlapi.ShardStatus{CatchingUp: true, SinceProgress: 1500 * clock.Millisecond}
+	if text := copyLines(learner); text != "    nothing received for 1500 ms\n" {
+		t.Errorf("got %q", text)
+	}
+}
--- a/internal/compat/additions.go
+++ b/internal/compat/additions.go
@@ -3,7 +3,9 @@
 import (
 	"reflect"
 
+	"coursepass/internal/consensus"
 	"coursepass/internal/controlplane"
+	"coursepass/internal/controlplane/controlapi"
 	"coursepass/internal/controlplane/messaging"
 	"coursepass/internal/dataplane/placement"
 	"coursepass/internal/gossip/peers"
@@ -74,6 +76,15 @@
 		reflect.TypeFor[controlplane.ControlRequest]():     {"ObservedIndex"},
 		reflect.TypeFor[controlplane.ControlRequestWire](): {"ObservedIndex"},
 	}},
+	{name: "receiver-identity", fields: map[reflect.Type][]string{
+		reflect.TypeFor[consensus.Message]():                  {"Receiver"},
+		reflect.TypeFor[consensus.MessageWire]():              {"Receiver"},
+		reflect.TypeFor[messaging.MessageBatchResponse]():     {"Identity"},
+		reflect.TypeFor[messaging.MessageBatchResponseWire](): {"Identity"},
+	}},
+	{name: "copies", fields: map[reflect.Type][]string{
+		reflect.TypeFor[controlapi.ShardStatus](): {"Copies", "SinceProgress"},
+	}},
 }
 
 // adds reports whether a field of a struct belongs to the addition.
--- a/internal/compat/calls.go
+++ b/internal/compat/calls.go
@@ -103,8 +103,7 @@
 
 // consensusSample returns a batch with one filled message, which set gives its kind.
 func consensusSample(label string, set func(*consensus.Message)) Sample {
-	batch := &messaging.MessageBatch{}
-	Fill(batch)
+	batch := filled(messaging.MessageBatch{}).(*messaging.MessageBatch)
 	batch.Messages = batch.Messages[:1]
 	set(&batch.Messages[0])
 	return gobMessage(label, batch)
--- a/internal/consensus/candidate.go
+++ b/internal/consensus/candidate.go
@@ -51,10 +51,11 @@
 	best := r.mostAdvancedPromise(message)
 	if best.From != r.Self && !r.logAvailable(best) {
 		r.startFetch(now, logFetch{
-			purpose: fetchForCandidate,
-			source:  best.From,
-			term:    r.ownTerm,
-			target:  best.position(),
+			purpose:      fetchForCandidate,
+			source:       best.From,
+			sourceDaemon: best.Sender,
+			term:         r.ownTerm,
+			target:       best.position(),
 		})
 		return
 	}
--- /dev/null
+++ b/internal/consensus/export_test.go
@@ -0,0 +1,4 @@
+package consensus
+
+// SnapshotChecksum is the checksum of a snapshot in messages.
+var SnapshotChecksum = checksum
--- a/internal/consensus/fetch.go
+++ b/internal/consensus/fetch.go
@@ -55,7 +55,10 @@
 // logFetch is a fetch of log content from one slot, with one request at a time.
 type logFetch struct {
 	purpose fetchPurpose
-	source  int
+	// source is the slot of the source, and sourceDaemon is the daemon that offered the content. The
+	// local membership may be too old to name that daemon.
+	source       int
+	sourceDaemon Member
 	// term is the term to which the fetch belongs; 0 in a recovery.
 	term uint64
 	// target is the log position at which the fetch is complete. Its term is not set if the target
@@ -76,7 +79,8 @@
 
 // isSameFetch reports whether two fetches have the same purpose, source and term.
 func (l *logFetch) isSameFetch(other logFetch) bool {
-	return l.purpose == other.purpose && l.source == other.source && l.term == other.term
+	return l.purpose == other.purpose && l.source == other.source && l.sourceDaemon == other.sourceDaemon &&
+		l.term == other.term
 }
 
 // timeoutFactor returns the timeout of the current request as a multiple of its first timeout.
@@ -103,6 +107,8 @@
 	fetch.requestedAt = now
 	r.sendAfterSync(Message{
 		To:          fetch.source,
+		Address:     fetch.sourceDaemon.Address,
+		Receiver:    fetch.sourceDaemon.Identity,
 		Kind:        MsgFetchRequest,
 		Term:        fetch.term,
 		RequestedAt: now,
--- a/internal/consensus/fetch_response.go
+++ b/internal/consensus/fetch_response.go
@@ -10,6 +10,9 @@
 	}
 	r.transfer.counters.Received++
 	r.transfer.fetch.attempts = 0
+	if r.recovery != nil {
+		r.recovery.progressAt = now
+	}
 	r.continueFetch(now)
 }
 
@@ -19,7 +22,7 @@
 	if fetch == nil || r.fetchObsolete(fetch) {
 		return false
 	}
-	fromSource := message.From == fetch.source && r.fromMember(message)
+	fromSource := message.From == fetch.source && message.Sender == fetch.sourceDaemon
 	return fromSource &&
 		message.Term == fetch.term &&
 		message.RequestedAt == fetch.requestedAt &&
@@ -118,6 +121,8 @@
 func (r *Replica) acknowledgeFetch(fetch *logFetch) {
 	r.sendAfterSync(Message{
 		To:           fetch.source,
+		Address:      fetch.sourceDaemon.Address,
+		Receiver:     fetch.sourceDaemon.Identity,
 		Kind:         MsgAppendResponse,
 		Term:         fetch.term,
 		RequestedAt:  fetch.appendSentAt,
--- a/internal/consensus/fetch_source.go
+++ b/internal/consensus/fetch_source.go
@@ -10,15 +10,11 @@
 		return
 	}
 	response := Message{
-		To:          message.From,
 		Kind:        MsgFetchResponse,
 		Term:        message.Term,
 		RequestedAt: message.RequestedAt,
 		Incarnation: message.Incarnation,
 	}
-	if r.fromLearner(message) {
-		response.Address = message.Sender.Address
-	}
 	last, _ := r.LastPosition()
 	entries, term, ok := r.entriesFrom(message.Index)
 	if ok || message.Index > last {
@@ -31,7 +27,7 @@
 		response.Checksum = r.currentChecksum()
 	}
 	r.transfer.counters.Served++
-	r.sendAfterSync(response)
+	r.reply(message, response)
 }
 
 // mayFetch reports whether a request comes from a member or the learner, and belongs to the present
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -130,6 +130,7 @@
 		Established: r.committedInOwnTerm(),
 		RequestedAt: now,
 		Incarnation: peer.incarnation,
+		Receiver:    peer.member.Identity,
 	}
 	entries, term, ok := r.entriesFrom(peer.nextIndex - 1)
 	if !ok {
--- a/internal/consensus/learner.go
+++ b/internal/consensus/learner.go
@@ -55,7 +55,8 @@
 	switch {
 	case current != nil && current.member == daemon && current.slot == slot:
 		current.promotable = request.Promotable
-	case current == nil || current.timedOut(now) || request.Promotable && !current.promotable:
+	case current == nil || current.timedOut(now) || request.Promotable && !current.promotable,
+		current.member.hasOtherDisk(daemon):
 		r.leadership.learner = r.newLearner(now, request)
 	}
 	r.replicateToLearner(now)
@@ -84,7 +85,8 @@
 		return
 	}
 	current := r.leadership.learner
-	if current != nil && (current.member == message.Sender || !current.timedOut(now)) {
+	replaceable := current == nil || current.timedOut(now) || current.member.hasOtherDisk(message.Sender)
+	if !replaceable || current != nil && current.member == message.Sender {
 		return
 	}
 	r.leadership.learner = r.newLearner(now, LearnerRequest{
@@ -143,6 +145,28 @@
 	return learner.incarnation > 0 && learner.matchIndex > 0 && r.hasCaughtUp(&learner.progress)
 }
 
+// ObserveIdentity informs a leader of the identity of the daemon at an address. What the leader knows
+// of the log of an earlier disk at that address does not apply to that daemon.
+func (r *Replica) ObserveIdentity(now clock.Microseconds, address, identity string) {
+	if r.role != roleLeader || identity == "" {
+		return
+	}
+	daemon := Member{Address: address, Identity: identity}
+	if learner := r.leadership.learner; learner != nil && learner.member.hasOtherDisk(daemon) {
+		r.leadership.learner = nil
+	}
+	if slot := r.membership.Slot(daemon); slot >= 0 && slot != r.Self {
+		r.observeFollower(now, slot, daemon)
+	}
+}
+
+// observeFollower forgets the progress of a follower if another disk answers at its address.
+func (r *Replica) observeFollower(now clock.Microseconds, slot int, daemon Member) {
+	if peer := &r.leadership.followers[slot]; peer.member.hasOtherDisk(daemon) {
+		*peer = r.newProgress(now, daemon)
+	}
+}
+
 // holdsSlot reports whether the slot has been given to the learner with its present data directory.
 func (r *Replica) holdsSlot(learner *learner) bool {
 	member := r.membership.Members[learner.slot]
@@ -161,6 +185,7 @@
 		return
 	}
 	if r.fromMember(message) {
+		r.observeFollower(now, message.From, message.Sender)
 		peer := &r.leadership.followers[message.From]
 		peer.lastContact = now
 		peer.incarnation = message.Incarnation
--- a/internal/consensus/learner_replica.go
+++ b/internal/consensus/learner_replica.go
@@ -27,6 +27,15 @@
 	return r.recovery != nil && r.recovery.learner
 }
 
+// SinceProgress returns how long ago a replica without a vote last stored something that a leader
+// sent, or was shown that it lacks nothing; 0 for a voter.
+func (r *Replica) SinceProgress(now clock.Microseconds) clock.Microseconds {
+	if r.recovery == nil {
+		return 0
+	}
+	return now - r.recovery.progressAt
+}
+
 // appendAsLearner stores the entries that a leader sends to a replica without a vote.
 func (r *Replica) appendAsLearner(now clock.Microseconds, message Message) {
 	if message.Term < r.recovery.leaderTerm {
@@ -37,10 +46,15 @@
 	response := r.newAppendResponse(message)
 	response.PromisedTerm = message.Term
 	response.Recovering = true
+	lastBefore, _ := r.LastPosition()
 	if !r.storeAppend(now, message, &response, fetchForLearner) {
-		r.sendAfterSync(response)
+		r.reply(message, response)
 		return
 	}
+	last, _ := r.LastPosition()
+	if last > lastBefore || last >= message.Commit {
+		r.recovery.progressAt = now
+	}
 	r.commitTo(min(message.Commit, response.Index))
 	response.Commit = r.commitIndex
 	if r.hasAllAcknowledged(message) && r.isAppliedMember() {
@@ -48,7 +62,7 @@
 		response.Recovering = false
 		response.PromisedTerm = r.PromisedTerm
 	}
-	r.sendAfterSync(response)
+	r.reply(message, response)
 }
 
 // isAppliedMember reports whether a committed entry has given the slot to this daemon, by its
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -28,6 +28,12 @@
 	return m.Address == ""
 }
 
+// hasOtherDisk reports whether two daemons have the same address, and are known to have different
+// data directories.
+func (m Member) hasOtherDisk(other Member) bool {
+	return m.sameAddress(other) && m.Identity != "" && other.Identity != "" && m.Identity != other.Identity
+}
+
 func (m Member) sameAddress(other Member) bool {
 	return !m.Vacant() && m.Address == other.Address
 }
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -113,14 +113,15 @@
 }
 
 // reachableWithout returns the number of members other than that of a slot that have answered
-// within a timeout. It counts this leader.
+// within a timeout and have caught up. It counts this leader. A member that lacks entries could not
+// take the place of the one that loses its slot.
 func (r *Replica) reachableWithout(now clock.Microseconds, slot int, timeout clock.Microseconds) int {
 	reachable := 0
 	for peer, member := range r.membership.Members {
 		if peer == slot || member.Vacant() {
 			continue
 		}
-		if peer == r.Self || r.SinceLastContact(now, peer) <= timeout {
+		if peer == r.Self || r.SinceLastContact(now, peer) <= timeout && r.CaughtUp(peer) {
 			reachable++
 		}
 	}
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -76,8 +76,10 @@
 	Granted bool
 	// Recovering is set if the sender has no vote.
 	Recovering bool
-	// Learner is set in MsgAppend if the receiver is a learner. Address is the learner's address.
+	// Learner is set in MsgAppend if the receiver is a learner.
 	Learner bool
+	// Address is the address of the receiving daemon, or empty if the message is for whichever daemon
+	// holds the slot.
 	Address string
 	// RequestedAt is the time of a request on its sender's clock. The response repeats it.
 	RequestedAt clock.Microseconds
@@ -89,6 +91,21 @@
 	Sender Member
 	// Epoch is the epoch of the sender's membership.
 	Epoch uint64
+	// Receiver is the identity of the data directory for which the message is meant, or empty if the
+	// message is for whichever daemon has the address. A daemon that has lost its disk has another
+	// identity: what its earlier disk stored, promised or asked for says nothing about it.
+	Receiver string
+}
+
+// IsFor reports whether a daemon may handle the message: it is not meant for another data directory.
+func (m Message) IsFor(daemon Member) bool {
+	return m.Receiver == "" || m.Receiver == daemon.Identity
+}
+
+// IsLearnerAppend reports whether the message is a MsgAppend to a learner. An earlier build names no
+// receiver in it, so that it may be meant for an earlier disk.
+func (m Message) IsLearnerAppend() bool {
+	return m.Kind == MsgAppend && m.Learner
 }
 
 // Size returns the size of the log content in a message, in bytes.
--- a/internal/consensus/output.go
+++ b/internal/consensus/output.go
@@ -60,6 +60,16 @@
 	r.output.MessagesAfterSync = append(r.output.MessagesAfterSync, message)
 }
 
+// reply queues the response to a message, which depends on all records that have been queued so far.
+// It goes to the daemon that sent the message, at the address from which the message came: the local
+// membership may be older than the sender's, and the address may belong to another disk by then.
+func (r *Replica) reply(request, response Message) {
+	response.To = request.From
+	response.Address = request.Sender.Address
+	response.Receiver = request.Sender.Identity
+	r.sendAfterSync(response)
+}
+
 // sendElection queues messages of the election. It drops those of a learner, which holds no slot
 // from which it could send them.
 func (r *Replica) sendElection(outgoing []election.OutgoingMessage) {
--- a/internal/consensus/recovery.go
+++ b/internal/consensus/recovery.go
@@ -20,6 +20,9 @@
 	// bestLog is the most advanced log among the responses and offeredSnapshot.
 	bestLog         Message
 	offeredSnapshot Message
+	// progressAt is when this replica last stored something that a leader sent, or was shown by a
+	// leader that it lacks nothing.
+	progressAt clock.Microseconds
 	// highestTerm is the highest term that was observed in responses, in the offered snapshot, or
 	// through ObserveTerm.
 	highestTerm uint64
@@ -55,7 +58,7 @@
 
 // startRecovery starts the recovery: this replica has no vote from now on, and does not lead.
 func (r *Replica) startRecovery(now clock.Microseconds) {
-	r.recovery = &recovery{startedAt: now, responses: map[int]Message{}}
+	r.recovery = &recovery{startedAt: now, progressAt: now, responses: map[int]Message{}}
 	r.election.BarTerm(maxTerm)
 }
 
@@ -95,18 +98,18 @@
 	}
 	if r.role == roleLeader {
 		// The daemon has no vote yet, but its contact shows that its slot is not abandoned.
+		r.observeFollower(now, message.From, message.Sender)
 		r.leadership.followers[message.From].lastContact = now
 		r.addRecoveringLearner(now, message)
 	}
 	response := Message{
-		To:           message.From,
 		Kind:         MsgRecoveryResponse,
 		PromisedTerm: r.PromisedTerm,
 		Commit:       r.commitIndex,
 		Recovering:   r.recovery != nil,
 	}
 	response.Index, response.IndexTerm = r.LastPosition()
-	r.sendAfterSync(r.withLogAfter(response, 0))
+	r.reply(message, r.withLogAfter(response, 0))
 }
 
 // handleRecoveryResponse records the response of a slot, and continues the recovery.
@@ -127,7 +130,12 @@
 	if r.logAvailable(best) {
 		return true
 	}
-	r.startFetch(now, logFetch{purpose: fetchForRecovery, source: best.From, target: best.position()})
+	r.startFetch(now, logFetch{
+		purpose:      fetchForRecovery,
+		source:       best.From,
+		sourceDaemon: best.Sender,
+		target:       best.position(),
+	})
 	return false
 }
 
@@ -159,19 +167,41 @@
 
 // recoveryComplete reports whether every lease that this replica may have granted has expired, and
 // enough other slots have answered: either a majority of the other slots with their disks intact,
-// or all other slots.
+// or all other slots. If a response shows a later membership than the local one, the recovery waits
+// for that membership: a daemon that has lost its slot may have answered in place of its successor.
 func (r *Replica) recoveryComplete(now clock.Microseconds) bool {
 	if now-r.recovery.startedAt < r.LeaseDuration+r.SafetyMargin {
 		return false
 	}
-	withDisk := 0
-	for _, response := range r.recovery.responses {
+	answered, withDisk := 0, 0
+	for slot, response := range r.recovery.responses {
+		if response.Epoch > r.membership.Epoch {
+			return false
+		}
+		if !r.membership.isVoter(slot, response.Sender) {
+			continue
+		}
+		answered++
 		if !response.Recovering {
 			withDisk++
 		}
 	}
 	others := r.Slots - 1
-	return withDisk >= majority(others) || len(r.recovery.responses) >= others
+	return withDisk >= majority(others) || answered >= others
+}
+
+// AdoptMembership gives a replica without a vote a later membership than the local log has. The log
+// of such a replica may end long before the present membership; the daemons of that time may be
+// gone, and their slots be held by others. A voter takes memberships from its log alone.
+func (r *Replica) AdoptMembership(now clock.Microseconds, membership Membership) Output {
+	if r.recovery == nil || membership.Epoch <= r.membership.Epoch || len(membership.Members) != r.Slots {
+		return Output{}
+	}
+	r.InitialMembership = membership
+	r.refreshMembership()
+	r.recovery.requestedAt = 0
+	r.updateRole(now)
+	return r.takeOutput()
 }
 
 // finishRecovery adopts the best log and makes this replica a voter. The replica promises the
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -110,11 +110,15 @@
 	}
 }
 
-// Receive handles a message. It ignores messages of other shards and messages to other slots.
+// Receive handles a message. It ignores messages of other shards, messages to other slots, and
+// messages that are meant for an earlier disk of this daemon.
 func (r *Replica) Receive(now clock.Microseconds, message Message) Output {
 	if message.Shard != r.Shard || message.To != r.Self || message.From < 0 || message.From >= r.Slots {
 		return Output{}
 	}
+	if !message.IsFor(r.LocalMember) {
+		return Output{}
+	}
 	if message.Kind == MsgElection && r.fromNonMember(message) {
 		return Output{}
 	}
--- a/internal/consensus/voter.go
+++ b/internal/consensus/voter.go
@@ -24,7 +24,7 @@
 	if r.recovery != nil || r.exceedsElectionTerm(message.Term) {
 		return
 	}
-	response := Message{To: message.From, Kind: MsgPromise, Term: message.Term, PromisedTerm: r.PromisedTerm}
+	response := Message{Kind: MsgPromise, Term: message.Term, PromisedTerm: r.PromisedTerm}
 	if message.Term >= r.PromisedTerm {
 		r.raisePromisedTerm(message.Term)
 		response.Accepted = true
@@ -33,12 +33,12 @@
 		response.Index, response.IndexTerm = r.LastPosition()
 		response = r.withLogAfter(response, message.Index)
 	}
-	r.sendAfterSync(response)
+	r.reply(message, response)
 }
 
 // handleAppend stores the entries that a leader sends, and grants its lease.
 func (r *Replica) handleAppend(now clock.Microseconds, message Message) {
-	if r.recovery != nil && message.Learner {
+	if r.recovery != nil && message.Learner && message.Receiver == r.LocalMember.Identity {
 		r.appendAsLearner(now, message)
 		return
 	}
@@ -48,14 +48,14 @@
 	response := r.newAppendResponse(message)
 	response.PromisedTerm = r.PromisedTerm
 	if message.Term < r.PromisedTerm {
-		r.sendAfterSync(response)
+		r.reply(message, response)
 		return
 	}
 	r.raisePromisedTerm(message.Term)
 	r.leaderContactAt = now
 	response.PromisedTerm = r.PromisedTerm
 	if !r.storeAppend(now, message, &response, fetchForFollower) {
-		r.sendAfterSync(response)
+		r.reply(message, response)
 		return
 	}
 	if message.From != r.Self {
@@ -66,14 +66,13 @@
 	}
 	response.Commit = r.commitIndex
 	response.Granted = r.leaseGranter.HandleRequest(now, message.Term)
-	r.sendAfterSync(response)
+	r.reply(message, response)
 }
 
 // newAppendResponse returns a MsgAppendResponse without acceptance; the caller sets Accepted if it
 // stores the entries.
 func (r *Replica) newAppendResponse(message Message) Message {
 	return Message{
-		To:          message.From,
 		Kind:        MsgAppendResponse,
 		Term:        message.Term,
 		RequestedAt: message.RequestedAt,
@@ -95,6 +94,7 @@
 			r.startFetch(now, logFetch{
 				purpose:      purpose,
 				source:       message.From,
+				sourceDaemon: message.Sender,
 				term:         message.Term,
 				target:       logPosition{index: message.SnapshotIndex},
 				appendSentAt: message.RequestedAt,
--- a/internal/consensus/wal/record.go
+++ b/internal/consensus/wal/record.go
@@ -39,6 +39,16 @@
 	Entry
 }
 
+// ResetRecords returns the records that drop the snapshot and the entries of a shard, and keep its
+// promise. An earlier build drops the entries only when the second record is read: it leaves the empty
+// entry with which the first leader of every log begins, which any other first entry replaces.
+func ResetRecords(shard int) []Record {
+	return []Record{
+		{Kind: RecordSnapshot, Shard: shard},
+		{Kind: RecordAppend, Shard: shard, Entry: Entry{Index: 1}},
+	}
+}
+
 // encode appends the record to a buffer: the kind as one byte; the shard, the term, the index and
 // the length of the data as unsigned varints; the data.
 func (r Record) encode(buffer []byte) []byte {
--- a/internal/consensus/wal/state.go
+++ b/internal/consensus/wal/state.go
@@ -58,8 +58,13 @@
 	s.Entries = append(s.Entries[:count:count], entry)
 }
 
-// setSnapshot sets the snapshot and drops the entries that it contains.
+// setSnapshot sets the snapshot and drops the entries that it contains. A snapshot without an index drops
+// all entries and the recorded commit index.
 func (s *ShardState) setSnapshot(snapshot Entry) {
+	if snapshot.Index == 0 {
+		s.Snapshot, s.Entries, s.RecordedCommit = Entry{}, nil, 0
+		return
+	}
 	s.Snapshot = snapshot
 	contained := 0
 	for contained < len(s.Entries) && s.Entries[contained].Index <= snapshot.Index {
--- a/internal/consensus/wire.go
+++ b/internal/consensus/wire.go
@@ -93,6 +93,8 @@
 	Life                    uint64
 	Sender                  MemberWire
 	Epoch                   uint64
+	// Receiver was added after the first build. It is empty in the messages of a build that does not send it.
+	Receiver string
 }
 
 // ToWire returns the message's wire form, which shares the data of the entries.
@@ -126,6 +128,7 @@
 		Life:        m.Incarnation,
 		Sender:      m.Sender.ToWire(),
 		Epoch:       m.Epoch,
+		Receiver:    m.Receiver,
 	}
 }
 
@@ -160,5 +163,6 @@
 		Incarnation:   w.Life,
 		Sender:        w.Sender.ToDomain(),
 		Epoch:         w.Epoch,
+		Receiver:      w.Receiver,
 	}
 }
--- a/internal/controlplane/controlapi/operators.go
+++ b/internal/controlplane/controlapi/operators.go
@@ -29,6 +29,24 @@
 	// ConfirmedUntil is when the confirmation of the leadership expires, by this server's clock.
 	ConfirmedUntil       clock.Microseconds `json:"-"`
 	QuietPeriodRemaining clock.Microseconds `json:"quietLeftMicroseconds"`
+	// Copies holds the copies of the shard's log by slot. Only the leader knows them.
+	Copies []CopyStatus `json:"copies,omitempty"`
+	// SinceProgress is the time since a server without a vote last received something of the log.
+	SinceProgress clock.Microseconds `json:"sinceProgressMicroseconds,omitempty"`
+}
+
+// CopyStatus is the copy of a shard's log in one slot, as the leader knows it.
+type CopyStatus struct {
+	Slot int `json:"slot"`
+	// Server and Address are those of the member, or of the server that catches up in order to be given the slot.
+	Server  string `json:"server"`
+	Address string `json:"address"`
+	// State is "complete", "catching-up" (the server answers and lacks entries or a vote), "silent" or "vacant".
+	State string `json:"state"`
+	// MissingEntries is the number of committed entries that the server is not known to store.
+	MissingEntries uint64 `json:"missingEntries"`
+	// Since is the time since which the copy has been in its state.
+	Since clock.Microseconds `json:"sinceMicroseconds"`
 }
 
 // ServerStatus is the status of a server and its shards.
--- a/internal/controlplane/counters.go
+++ b/internal/controlplane/counters.go
@@ -33,6 +33,7 @@
 		"diary-mishaps":    s.reservations.LogErrors.Load(),
 	}
 	s.addLateChangeCounters(counters)
+	s.addCopyCounters(counters)
 	s.addTransportCounters(counters)
 	s.addLogCounters(counters)
 	s.addGossipCounters(counters)
@@ -61,6 +62,22 @@
 	}
 }
 
+// addCopyCounters adds the number of copies of the logs of the shards that this server leads, and the counts of what was
+// dropped because of an earlier disk or a copy without progress.
+func (s *Server) addCopyCounters(counters map[string]int64) {
+	for _, shard := range s.shards {
+		counters["messages-earlier-disk"] += shard.EarlierDiskMessages.Load()
+		counters["learners-restarted"] += shard.LearnerRestarts.Load()
+		status := shard.CurrentStatus()
+		if status == nil {
+			continue
+		}
+		for _, replica := range status.Copies {
+			counters["copies-"+replica.State]++
+		}
+	}
+}
+
 func (s *Server) addTransportCounters(counters map[string]int64) {
 	counters["foreign"] = s.internalTransport.ForeignRequests.Load()
 	counters["garbage"] = s.internalTransport.MalformedRequests.Load()
--- a/internal/controlplane/message_routing.go
+++ b/internal/controlplane/message_routing.go
@@ -41,6 +41,11 @@
 				s.shards[echo.Shard].ReceiveEcho(s.runContext, sentAt, address, echo)
 			}
 		},
+		OnIdentity: func(identity string) {
+			for _, shard := range s.shards {
+				shard.ObserveIdentity(s.runContext, address, identity)
+			}
+		},
 	})
 	s.senders[address] = sender
 	go sender.Run(s.runContext)
@@ -77,6 +82,7 @@
 		Incarnation: s.Incarnation,
 		Clock:       now,
 		Features:    messaging.KnownFeatures,
+		Identity:    s.self.Identity,
 	}
 	age, ageKnown := batch.Age(now, s.Incarnation)
 	isLate := !ageKnown || age > s.DeltaDuration()
--- a/internal/controlplane/messaging/batch.go
+++ b/internal/controlplane/messaging/batch.go
@@ -29,4 +29,6 @@
 	Echoes      []consensus.Echo
 	// Features are the features that the receiver's build supports.
 	Features Features
+	// Identity is the identity of the receiver's data directory.
+	Identity string
 }
--- a/internal/controlplane/messaging/sender.go
+++ b/internal/controlplane/messaging/sender.go
@@ -49,6 +49,8 @@
 	Delta clock.Microseconds
 	// OnEcho is called with each echo, and with the time at which the first message of the batch was queued.
 	OnEcho func(sentAt clock.Microseconds, echo consensus.Echo)
+	// OnIdentity is called when the other server answers with the identity of another data directory than before.
+	OnIdentity func(identity string)
 }
 
 // Sender sends the messages of all shards to one other server. Each urgent message, which is an election message or a
@@ -61,9 +63,11 @@
 	// features are the features in the last response of the other server. The pointer is nil before the first response.
 	features atomic.Pointer[Features]
 
-	// lock guards ageEstimator.
+	// lock guards ageEstimator and identity.
 	lock         sync.Mutex
 	ageEstimator messageage.Estimator
+	// identity is the identity in the last response of the other server.
+	identity string
 }
 
 // NewSender creates a sender. All messages that are not urgent wait until Run is called.
@@ -165,7 +169,12 @@
 	reading := messageage.ClockReading{Incarnation: response.Incarnation, Clock: response.Clock}
 	s.lock.Lock()
 	s.ageEstimator.RecordReading(s.options.Clock.Now(), reading)
+	identityChanged := s.identity != response.Identity
+	s.identity = response.Identity
 	s.lock.Unlock()
+	if identityChanged {
+		s.options.OnIdentity(response.Identity)
+	}
 	for _, echo := range response.Echoes {
 		s.options.OnEcho(sentAt, echo)
 	}
--- a/internal/controlplane/messaging/wire.go
+++ b/internal/controlplane/messaging/wire.go
@@ -48,6 +48,8 @@
 	Echoes      []consensus.EchoWire
 	// Features was added after the first build. It is 0 in the response of a build that does not send it.
 	Features uint64
+	// Identity was added after the first build. It is empty in the response of a build that does not send it.
+	Identity string
 }
 
 // WireForm implements transport.WireMarshaler.
@@ -57,6 +59,7 @@
 		Clock:       m.Clock,
 		Echoes:      wireform.ConvertSlice(m.Echoes, (*consensus.Echo).ToWire),
 		Features:    uint64(m.Features),
+		Identity:    m.Identity,
 	}
 }
 
@@ -74,6 +77,7 @@
 		Clock:       wire.Clock,
 		Echoes:      wireform.ConvertSlice(wire.Echoes, (*consensus.EchoWire).ToDomain),
 		Features:    Features(wire.Features),
+		Identity:    wire.Identity,
 	}
 	return nil
 }
--- a/internal/controlplane/replication/membership.go
+++ b/internal/controlplane/replication/membership.go
@@ -19,7 +19,8 @@
 			// Ignored: an older membership may still list this server in a slot that it has lost.
 		case membership.Epoch == currentEpoch && (r.replica != nil || slot < 0):
 		case r.replica != nil && r.replica.IsLearner():
-			// Ignored: a learner receives its slot in a log entry from the leader.
+			// A learner receives its slot in a log entry from the leader, but needs the present members' addresses.
+			r.processOutput(ctx, r.replica.AdoptMembership(r.options.Clock.Now(), membership))
 		case r.replica == nil && slot >= 0:
 			log.Info().Str("server", r.options.Self.Name).Int("shard", r.options.Shard).Int("slot", slot).
 				Uint64("epoch", membership.Epoch).Msg("slot received")
@@ -28,6 +29,8 @@
 			r.membership.Store(&membership)
 		case slot < 0:
 			r.stopReplica(membership)
+		default:
+			r.processOutput(ctx, r.replica.AdoptMembership(r.options.Clock.Now(), membership))
 		}
 	})
 }
--- a/internal/controlplane/replication/shard_replica.go
+++ b/internal/controlplane/replication/shard_replica.go
@@ -48,9 +48,14 @@
 	// publishedHead is the head at which the most recently published state was first published.
 	publishedHead gossip.Head
 	pendingReads  []*pendingRead
+	// copies tracks the copies of the log while this server leads the shard.
+	copies copyTracker
 	// changes holds the positions of the changes that this server has appended as leader.
 	changes changeHistory
 
+	// EarlierDiskMessages counts the messages that were dropped because they were meant for an earlier disk of this
+	// server. LearnerRestarts counts the learners that started over because they made no progress.
+	EarlierDiskMessages, LearnerRestarts atomic.Int64
 	// OvertakenChanges counts the changes that were rejected because a later one may have come first.
 	OvertakenChanges atomic.Int64
 
@@ -101,7 +106,9 @@
 	}
 	stalled := clock.FromDuration(r.options.Log.StalledFor()) > maxStallDeltas*r.options.Delta
 	r.replica.SetDiskStalled(stalled || r.options.Server.YieldsLeadership(r.replica.Membership()))
-	r.processOutput(ctx, r.replica.Tick(r.options.Clock.Now()))
+	now := r.options.Clock.Now()
+	r.processOutput(ctx, r.replica.Tick(now))
+	r.restartStalledLearner(now)
 }
 
 // startReplica starts the replica if the membership gives this server a slot. If the log on this server's
@@ -172,11 +179,24 @@
 	return r.replica.NextTick()
 }
 
-// stopReplica stops a replica that has lost its slot. Its pending proposals end with an unknown outcome, and
-// its pending reads fail.
+// ObserveIdentity informs the replica of the identity of the data directory at another server's address.
+func (r *ShardReplica) ObserveIdentity(ctx context.Context, address, identity string) {
+	r.loop.Put(ctx, func() {
+		if r.replica != nil {
+			r.replica.ObserveIdentity(r.options.Clock.Now(), address, identity)
+		}
+	})
+}
+
+// stopReplica stops a replica that has lost its slot.
 func (r *ShardReplica) stopReplica(membership consensus.Membership) {
 	log.Warn().Str("server", r.options.Self.Name).Int("shard", r.options.Shard).Uint64("epoch", membership.Epoch).
 		Msg("slot lost")
+	r.discardReplica(membership)
+}
+
+// discardReplica ends the replica. Its pending proposals end with an unknown outcome, and its pending reads fail.
+func (r *ShardReplica) discardReplica(membership consensus.Membership) {
 	r.completeProposals(consensus.Output{ProposalsDropped: true})
 	r.replica = nil
 	r.completeReads()
@@ -189,6 +209,10 @@
 
 // Receive passes a message to the replica. It blocks while the queue of the loop is full.
 func (r *ShardReplica) Receive(ctx context.Context, message consensus.Message) {
+	if !message.IsFor(r.options.Self) {
+		r.EarlierDiskMessages.Add(1)
+		return
+	}
 	r.loop.Put(ctx, func() {
 		if r.shouldStartLearner(message) {
 			r.startLearner(ctx, message.To)
--- a/internal/controlplane/replication/shard_status.go
+++ b/internal/controlplane/replication/shard_status.go
@@ -60,6 +60,10 @@
 		UpToDate:       upToDate && !replica.Isolated(now),
 		CatchingUp:     replica.Recovering(),
 		ConfirmedUntil: replica.LeadershipConfirmedUntil(now),
+		Copies:         r.copyStatuses(now),
+	}
+	if replica.Recovering() {
+		status.SinceProgress = replica.SinceProgress(now)
 	}
 	return status, membership
 }
--- a/internal/faulttest/modelcheck/state.go
+++ b/internal/faulttest/modelcheck/state.go
@@ -36,7 +36,8 @@
 	// majority; zero leaves that unchecked.
 	MaxQuorumSilence clock.Microseconds
 	// AcceptOlderMembership plants a fault: a daemon without a replica becomes a member also by an
-	// older membership than it knows.
+	// older membership than it knows, and no message shows the epoch of its sender, by which a
+	// recovering replica would detect this.
 	AcceptOlderMembership bool
 }
 
@@ -270,14 +271,18 @@
 	}
 }
 
-// sendMessage sends a message to the member of its slot, by the membership that the sender knows.
+// sendMessage sends a message to the address that it names, or else to the member of its slot by the membership that the
+// sender knows.
 func (s *State) sendMessage(daemon *daemonState, message consensus.Message) {
-	member := daemon.membership.Members[message.To]
-	if member.Vacant() || member.Address == daemon.member.Address {
+	address := message.Address
+	if address == "" {
+		address = daemon.membership.Members[message.To].Address
+	}
+	if address == "" || address == daemon.member.Address {
 		return
 	}
 	for _, to := range s.daemons {
-		if to.member.Address == member.Address {
+		if to.member.Address == address {
 			s.inFlight = append(s.inFlight, envelope{
 				from:                daemon.number,
 				to:                  to.number,
@@ -328,6 +333,9 @@
 		return
 	}
 	message.Sender = s.daemons[packet.from].member
+	if s.options.AcceptOlderMembership {
+		message.Epoch = 0
+	}
 	s.recordContact(to, packet)
 	s.handleOutput(to, to.replica.Receive(s.Now, message))
 }
