Late calls: a call is guarded by what its caller had seen on its connection

Cause: an unconditional change was guarded by the log index that the first daemon read when the request arrived. A link that had held the request back made it new. The end of the caller's connection may follow later than any wait.

Change: each connection carries the committed index read at its accept and directly before each answer, and its next call is guarded by that one (package observation). Members report their index with each response, so that daemons without a slot have one too. A connection accepted within a second of a suspension has none until its first answer; a connection on which the next request has come before the answer ends with that answer.

--- a/internal/compat/additions.go
+++ b/internal/compat/additions.go
@@ -82,6 +82,10 @@
 		reflect.TypeFor[messaging.MessageBatchResponse]():     {"Identity"},
 		reflect.TypeFor[messaging.MessageBatchResponseWire](): {"Identity"},
 	}},
+	{name: "committed-index", fields: map[reflect.Type][]string{
+		reflect.TypeFor[controlplane.ControlResponse]():     {"CommittedIndex", "CommittedRevision", "Overtaken"},
+		reflect.TypeFor[controlplane.ControlResponseWire](): {"CommittedIndex", "CommittedRevision", "Overtaken"},
+	}},
 	{name: "copies", fields: map[reflect.Type][]string{
 		reflect.TypeFor[controlapi.ShardStatus](): {"Copies", "SinceProgress"},
 	}},
--- a/internal/controlplane/counters.go
+++ b/internal/controlplane/counters.go
@@ -19,6 +19,9 @@
 	ReceivedMessages atomic.Int64
 	// ChangesAfterPause counts the requests that were rejected because this server was suspended recently.
 	ChangesAfterPause atomic.Int64
+	// ChangesWithoutHead counts the requests that were rejected because they arrived on a connection for which no committed
+	// index is known, such as one that was accepted after a suspension.
+	ChangesWithoutHead atomic.Int64
 	// UnobservedChanges counts the forwarded requests that were rejected because they name no log index.
 	UnobservedChanges atomic.Int64
 }
@@ -56,6 +59,7 @@
 // addLateChangeCounters adds the counts of the requests that were rejected because they may have come too late.
 func (s *Server) addLateChangeCounters(counters map[string]int64) {
 	counters["changes-after-pause"] = s.ChangesAfterPause.Load()
+	counters["changes-without-index"] = s.ChangesWithoutHead.Load()
 	counters["changes-unobserved"] = s.UnobservedChanges.Load()
 	for _, shard := range s.shards {
 		counters["changes-overtaken"] += shard.OvertakenChanges.Load()
--- a/internal/controlplane/forwarding_wire.go
+++ b/internal/controlplane/forwarding_wire.go
@@ -56,6 +56,10 @@
 	Outcome config.OutcomeWire
 	View    config.ViewWire
 	Engines registry.ViewWire
+	// CommittedIndex, CommittedRevision and Overtaken were added after the first build. They are zero in the response of a
+	// build that does not send them.
+	CommittedIndex, CommittedRevision uint64
+	Overtaken                         bool
 }
 
 // ToWire returns the wire form of the response.
@@ -64,6 +68,10 @@
 		Outcome: c.Outcome.ToWire(),
 		View:    c.View.ToWire(),
 		Engines: c.Engines.ToWire(),
+
+		CommittedIndex:    c.CommittedIndex,
+		CommittedRevision: c.CommittedRevision,
+		Overtaken:         c.Overtaken,
 	}
 }
 
@@ -73,5 +81,9 @@
 		Outcome: c.Outcome.ToDomain(),
 		View:    c.View.ToDomain(),
 		Engines: c.Engines.ToDomain(),
+
+		CommittedIndex:    c.CommittedIndex,
+		CommittedRevision: c.CommittedRevision,
+		Overtaken:         c.Overtaken,
 	}
 }
--- a/internal/controlplane/late_changes.go
+++ b/internal/controlplane/late_changes.go
@@ -7,6 +7,7 @@
 
 	"coursepass/internal/clock"
 	"coursepass/internal/controlplane/controlapi"
+	"coursepass/internal/controlplane/observation"
 	"coursepass/internal/controlplane/pause"
 	"coursepass/internal/controlplane/replication"
 	"coursepass/internal/errcode"
@@ -19,8 +20,9 @@
 // up and has a contrary request acknowledged by way of other servers. It must then not take effect any more. Requests
 // that name the state which they build on are compared with it by the state machine. All others are guarded by the log:
 // the server that takes the request from its caller attaches a committed log index, and the leader rejects the request
-// if its subject was changed after that index, see replication.Change. Only the observation must be in time: it is made
-// while the caller waits.
+// if its subject was changed after that index, see replication.Change. The index is the one that was observed on the
+// caller's connection before the caller can have sent the request, see package observation. A request that this process
+// makes itself observes the index when it is made.
 
 const (
 	// callerPatience is the time after which callers give up a request and turn to another server.
@@ -59,10 +61,18 @@
 	if err := s.checkNotPaused(); err != nil {
 		return err
 	}
-	head, err := s.observeShard(ctx, request)
+	shard := s.shards[request.shardIndex(s.Shards)]
+	head, err := s.observeShard(ctx, shard, request)
 	if err != nil {
 		return err
 	}
+	if connection := observation.FromContext(ctx); connection != nil {
+		head = connection.Head(shard.Index())
+	}
+	if head.Index == 0 {
+		s.ChangesWithoutHead.Add(1)
+		return errcode.Wrap(ErrOvertaken, errcode.NoQuorum, "nothing is known of the time at which the request was sent")
+	}
 	request.ObservedIndex = head.Index
 	if request.Configure != nil {
 		request.Configure.Observed = &config.Observation{Revision: head.Revision}
@@ -84,11 +94,13 @@
 
 // observeShard returns the head of the request's shard: this server's own if it has a slot, and otherwise that of the
 // member that answers first, to which the request is then forwarded.
-func (s *Server) observeShard(parent context.Context, request *ControlRequest) (controlapi.ShardHead, error) {
-	shard := s.shards[request.shardIndex(s.Shards)]
+func (s *Server) observeShard(
+	parent context.Context, shard *replication.ShardReplica, request *ControlRequest,
+) (observation.Head, error) {
 	status := shard.PublishedStatus()
 	if status != nil && status.Slot >= 0 {
-		return shard.CurrentHead(), nil
+		head := shard.CurrentHead()
+		return observation.Head{Index: head.Index, Revision: head.Revision}, nil
 	}
 	ctx, cancel := context.WithTimeout(parent, observationTimeout.Duration())
 	defer cancel()
@@ -105,10 +117,12 @@
 	for range addresses {
 		if observed := <-heads; observed.err == nil {
 			request.observedFrom = observed.address
-			return observed.head, nil
+			head := observation.Head{Index: observed.head.Index, Revision: observed.head.Revision}
+			s.reportedHeads.record(shard.Index(), head)
+			return head, nil
 		}
 	}
-	return controlapi.ShardHead{}, errcode.New(errcode.NotLeader,
+	return observation.Head{}, errcode.New(errcode.NotLeader,
 		"no member of shard %d has reported its log index within %v", shard.Index(), observationTimeout.Duration())
 }
 
--- a/internal/controlplane/leader_forwarding.go
+++ b/internal/controlplane/leader_forwarding.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 
 	"coursepass/internal/clock"
 	"coursepass/internal/consensus"
 	"coursepass/internal/controlplane/controlapi"
+	"coursepass/internal/controlplane/observation"
 	"coursepass/internal/controlplane/replication"
 	"coursepass/internal/errcode"
 	"coursepass/internal/state/config"
@@ -48,6 +50,11 @@
 	config.Outcome
 	View    config.View
 	Engines registry.View
+	// CommittedIndex is a log index of the shard that was committed when the request was answered, and CommittedRevision
+	// the revision of the state there or before. They are 0 in responses of earlier builds.
+	CommittedIndex, CommittedRevision uint64
+	// Overtaken is set if the request was rejected with ErrOvertaken.
+	Overtaken bool
 }
 
 func (c *ControlRequest) shardIndex(shardCount int) int {
@@ -82,7 +89,12 @@
 	if err != nil {
 		return nil, errcode.Wrap(err, errcode.OutcomeUnknown, "no response from the server that the request was forwarded to")
 	}
-	return response.ToDomain(), nil
+	result := response.ToDomain()
+	s.reportedHeads.record(shard.Index(), observation.Head{Index: result.CommittedIndex, Revision: result.CommittedRevision})
+	if result.Overtaken {
+		return nil, errcode.Wrap(ErrOvertaken, result.Code, result.Text)
+	}
+	return result, nil
 }
 
 // forwardedShard is the part of a shard replica that forwardTarget uses.
@@ -201,7 +213,9 @@
 	response, err := s.execute(ctx, request)
 	if err != nil {
 		outcome := config.Outcome{Code: errcode.CodeOf(err, errcode.OutcomeUnknown), Text: errcode.Text(err)}
-		return &ControlResponse{Outcome: outcome}
+		response = &ControlResponse{Outcome: outcome, Overtaken: errors.Is(err, ErrOvertaken)}
 	}
+	head := s.committedHeads()[request.shardIndex(s.Shards)]
+	response.CommittedIndex, response.CommittedRevision = head.Index, head.Revision
 	return response
 }
--- a/internal/controlplane/replication/change_history.go
+++ b/internal/controlplane/replication/change_history.go
@@ -1,6 +1,14 @@
 package replication
 
-import "coursepass/internal/errcode"
+import (
+	"errors"
+	"fmt"
+
+	"coursepass/internal/errcode"
+)
+
+// ErrOvertaken is the cause of the error that rejects a change because another one may have come between.
+var ErrOvertaken = errors.New("the operation was not executed")
 
 // AllSubjects is the subject of a change that may affect what any other change of the shard affects.
 const AllSubjects = "*"
@@ -66,9 +74,9 @@
 	if latest <= commitIndex && change.Harmless != nil && change.Harmless() {
 		return nil
 	}
-	return errcode.New(errcode.NoQuorum,
-		"%q may have changed since the request was sent, up to log index %d; the request observed index %d and was not executed",
-		change.Subject, latest, change.ObservedIndex)
+	return errcode.Wrap(ErrOvertaken, errcode.NoQuorum, fmt.Sprintf(
+		"%q may have changed since the request was sent, up to log index %d; the request observed index %d",
+		change.Subject, latest, change.ObservedIndex))
 }
 
 // record notes that a change was appended at a log index.
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -65,6 +65,8 @@
 	gossip            *peers.Gossip
 	maintenance       maintenance.Tracker
 	pauseDetector     pause.Detector
+	// reportedHeads are the heads of shards that members have reported.
+	reportedHeads reportedHeads
 	// usageLedger and usageReport are nil unless usage is enabled.
 	usageLedger *usageledger.Service
 	usageReport *usagereport.Task
@@ -233,8 +235,8 @@
 		return transport.Serve(ctx, listener, s.internalTransport, shutdownTimeout)
 	})
 	tasks.Go(func() error {
-		listener := transport.MeterListener(listeners.Public, s.meter, resources.Control)
-		handler := transport.CountServed(s.meter, resources.ProcedureOperators, s.publicHandler())
+		listener := transport.MeterListener(s.ListenToCallers(listeners.Public), s.meter, resources.Control)
+		handler := transport.CountServed(s.meter, resources.ProcedureOperators, s.HandleCallers(s.publicHandler()))
 		return transport.Serve(ctx, listener, handler, shutdownTimeout)
 	})
 	start(s.gossip.Run)
--- a/internal/faulttest/simulation/late_change_test.go
+++ b/internal/faulttest/simulation/late_change_test.go
@@ -139,6 +139,14 @@
 	*testFleet
 	leader    string
 	followers []string
+	// closers close the connections of callers.
+	closers []func()
+}
+
+func (f *lateChangeFleet) closeCallers() {
+	for _, closeCaller := range f.closers {
+		closeCaller()
+	}
 }
 
 // runLateChange starts a fleet whose shards all have the same leader.
@@ -151,6 +159,7 @@
 		deployment.regionOf = map[string]string{"norte": "north", "centro": "north", "sur": lateRegion}
 		fleet := &lateChangeFleet{testFleet: newTestFleet(t, directory, deployment, 200)}
 		defer fleet.shutDown()
+		defer fleet.closeCallers()
 		fleet.addDaemons(3, 0, 0)
 		fleet.addNonMember()
 		for name := range fleet.starters {
--- a/internal/layering/layering.go
+++ b/internal/layering/layering.go
@@ -61,6 +61,7 @@
 			"internal/enginecommand",
 		}},
 		{Name: "control plane", Packages: []string{
+			"internal/controlplane/observation",
 			"internal/controlplane/pause",
 			"internal/controlplane/messaging",
 			"internal/controlplane/reservations",
--- a/internal/transport/metered_conn.go
+++ b/internal/transport/metered_conn.go
@@ -49,6 +49,9 @@
 	return m.Conn.Close()
 }
 
+// NetConn returns the connection that is metered.
+func (m *meteredConn) NetConn() net.Conn { return m.Conn }
+
 // CloseWrite closes the sending direction if the connection supports it. net/http calls CloseWrite after a
 // response to a request that it has not read completely.
 func (m *meteredConn) CloseWrite() error {
@@ -79,22 +82,36 @@
 	return &meteredConn{Conn: conn, usage: m.meter.Accepted(conn.RemoteAddr().String(), m.kind)}, nil
 }
 
-type usageKey struct{}
+type connectionKey struct{}
+
+// withConnection adds a connection to the context of its requests.
+func withConnection(parent context.Context, conn net.Conn) context.Context {
+	return context.WithValue(parent, connectionKey{}, conn)
+}
 
-// withUsage adds the counters of a connection to the context of its requests.
-func withUsage(parent context.Context, conn net.Conn) context.Context {
-	if metered, ok := conn.(*meteredConn); ok {
-		return context.WithValue(parent, usageKey{}, metered.usage)
+// ConnectionOf returns the connection of a type on which a request arrived that [Serve] serves: the accepted connection,
+// or one that it wraps and returns by a method NetConn. It returns false if there is none.
+func ConnectionOf[Conn net.Conn](ctx context.Context) (conn Conn, found bool) {
+	current, _ := ctx.Value(connectionKey{}).(net.Conn)
+	for current != nil {
+		if conn, found = current.(Conn); found {
+			return conn, true
+		}
+		wrapper, wraps := current.(interface{ NetConn() net.Conn })
+		if !wraps {
+			break
+		}
+		current = wrapper.NetConn()
 	}
-	return parent
+	return conn, false
 }
 
 // countServed counts a request as a call of a procedure. It also counts the request's bytes for the procedure
 // if the request arrived over a metered connection.
 func countServed(request *http.Request, procedure *resources.Procedure) {
 	procedure.Calls.Add(1)
-	if usage, ok := request.Context().Value(usageKey{}).(*resources.Connection); ok {
-		usage.Begin(procedure)
+	if metered, found := ConnectionOf[*meteredConn](request.Context()); found {
+		metered.usage.Begin(procedure)
 	}
 }
 
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -27,7 +27,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       withUsage,
+		ConnContext:       withConnection,
 	}
 	serveErrors := make(chan error, 1)
 	go func() { serveErrors <- server.Serve(listener) }()
