Soak: the operator takes a zone back before it evacuates the next one

Traced with a log line for each order of the test's operator: while all control daemons were down it gave up to take the first zone back after 40 tries (8 s), and then had two more zones evacuated in turn, each acknowledged. So from 1.6 s to 18.6 s after the last fault two of three zones were evacuated by its own orders, one engine was left to prefill and one or two to decode for 52 requests a second, and the rejections were the truth. The operator now sends the return until it is acknowledged or the run ends.

--- a/internal/faulttest/simulation/fleet_soak_observer_test.go
+++ b/internal/faulttest/simulation/fleet_soak_observer_test.go
@@ -192,10 +192,9 @@
 			period.until = time.Now()
 			f.observerLock.Unlock()
 		}
-		for range 40 {
-			if f.sendChange(config.Request{Kind: config.OperationReturn, AnyRevision: true, Zone: name}).resultCode == errcode.OK {
-				break
-			}
+		// The fleet must bear the loss of one zone: the next one is evacuated only once this one is taken back.
+		takeBack := config.Request{Kind: config.OperationReturn, AnyRevision: true, Zone: name}
+		for ctx.Err() == nil && f.sendChange(takeBack).resultCode != errcode.OK {
 			time.Sleep(200 * time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
