--- a/internal/faulttest/simulation/late_caller_test.go
+++ b/internal/faulttest/simulation/late_caller_test.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// A caller whose subject nobody else changes gets through at its first try: the servers report what they have committed with
+// each response.
+func TestLateCaller_AloneGetsThroughAtOnce(t *testing.T) {
+	evacuate, takeBack := zoneRequest(config.OperationEvacuate), zoneRequest(config.OperationReturn)
+	for taker, server := range lateTakers {
+		t.Run(taker, func(t *testing.T) {
+			runLateChange(t, func(fleet *lateChangeFleet) {
+				fleet.setRoles(evacuate())
+				caller := fleet.newCaller(server(fleet))
+				caller.knownCall()
+				for turn, request := range []controlplane.ControlRequest{evacuate(), takeBack(), evacuate(), takeBack()} {
+					if count := caller.callAgain(request); count > 1 {
+						t.Errorf("turn %d: the caller got through at try %d", turn, count)
+					}
+				}
+			})
+		})
+	}
+}
+
 // rawCaller is a connection on which a test writes calls by itself.
 type rawCaller struct {
 	*lateChangeFleet
